--- /dev/null
+++ b/src/skylarkcart/gateway/_admission.py
@@ -0,0 +1,67 @@
+"""Decides whether a request may run, and for which client account."""
+
+from __future__ import annotations
+
+import msgspec
+
+from skylarkcart.clock import Millis
+from skylarkcart.exchange import CallerRequest
+from skylarkcart.gateway._core import Core
+from skylarkcart.published import Route
+from skylarkcart.types import AccountId
+
+# An account over its rate that has no token for longer than this should not hold
+# its caller's connection until then.
+MAX_RETRY_AFTER_MS = 5_000.0
+
+# Another instance may have what this one lacks, and a repeated request probably
+# reaches another one.
+ELSEWHERE_RETRY_AFTER_MS = 100.0
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a request was not run."""
+
+    status: int
+    reason: str
+    retry_after_ms: float | None = None
+
+
+class Admitted(msgspec.Struct, frozen=True, kw_only=True):
+    """A request's route and the account that it runs for."""
+
+    route: Route
+    account: AccountId | None
+
+
+def admit(core: Core, request: CallerRequest, now: Millis) -> Admitted | Refusal:
+    """Finds the route and the account, and takes the account's token."""
+    table = core.table
+    if table is None:
+        return Refusal(
+            status=503,
+            reason="no_configuration",
+            retry_after_ms=ELSEWHERE_RETRY_AFTER_MS,
+        )
+    route = table.find_route(request.host, request.path)
+    if route is None:
+        return Refusal(status=404, reason="no_route")
+    if not table.needs_key(route):
+        return Admitted(route=route, account=None)
+    if not core.trusts_keys(now):
+        return Refusal(
+            status=503,
+            reason="keys_not_confirmed",
+            retry_after_ms=ELSEWHERE_RETRY_AFTER_MS,
+        )
+    account = table.find_account(request.key)
+    if account is None:
+        return Refusal(status=401, reason="unknown_key")
+    if not core.quotas.try_spend(account.account, now):
+        wait_ms = core.quotas.estimate_wait_ms(account.account)
+        return Refusal(
+            status=429,
+            reason="rate_exceeded",
+            retry_after_ms=min(MAX_RETRY_AFTER_MS, wait_ms),
+        )
+    return Admitted(route=route, account=account.account)
--- /dev/null
+++ b/src/skylarkcart/gateway/_core.py
@@ -0,0 +1,195 @@
+"""State that all parts of a gateway instance share."""
+
+from __future__ import annotations
+
+import random
+
+from skylarkcart.budgets import ExtraCallKind, ExtraCalls
+from skylarkcart.clock import Clock, Millis
+from skylarkcart.fleet import Fleet
+from skylarkcart.gateway._event_log import EventLog, Level
+from skylarkcart.gateway._metrics import GatewayMetrics
+from skylarkcart.gateway._pool import UpstreamPool
+from skylarkcart.gateway_settings import GatewaySettings
+from skylarkcart.lifecycle import Lifecycle
+from skylarkcart.published import CallerLimits, Route
+from skylarkcart.quotas import Quotas
+from skylarkcart.registry import Registry, RegistryEvent
+from skylarkcart.replicas import Replica, Replicas, RouteLatency
+from skylarkcart.routing import RouteTable
+from skylarkcart.types import ServiceId, UpstreamId
+
+# Readiness fails first when an instance stops; the balancer asks once a second and
+# takes an instance out after two misses.
+LINGER_MS = 2_600.0
+QUIET_MS = 300.0
+
+# A withdrawn key may work no longer than the operators' bound after its withdrawal.
+# Published state may be older than its confirmation says by so much when the store
+# tells its watchers late.
+CONFIRMATION_MARGIN_MS = 1_300.0
+
+# Upstreams accept connections up to a limit over all callers; some are held by
+# connections that are just closing.
+CONNECTIONS_USED_PART = 0.9
+
+# Assumed before the first call of a route, as a part of its target latency.
+INITIAL_LATENCY_PART = 0.3
+
+DEFAULT_LIMITS = CallerLimits(
+    max_header_bytes=16_384,
+    max_body_bytes=262_144,
+    header_timeout_ms=3_000.0,
+    idle_timeout_ms=15_000.0,
+)
+
+
+class Core:
+    """Holds the slices' states and applies changes of the published state to them."""
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        clock: Clock,
+        random: random.Random,
+        incarnation: int,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.log = EventLog(clock=clock, instance=settings.instance)
+        self.metrics = GatewayMetrics()
+        self.lifecycle = Lifecycle(linger_ms=LINGER_MS, quiet_ms=QUIET_MS)
+        self.registry = Registry(record=self._record_event)
+        self.replicas = Replicas(zone=settings.zone, random=random)
+        self.quotas = Quotas()
+        self.fleet = Fleet(
+            instance=settings.instance,
+            zone=settings.zone,
+            zones=settings.zones,
+            host=settings.peer_host,
+            incarnation=incarnation,
+            seed_hosts=settings.seed_hosts,
+        )
+        self.pool = UpstreamPool(clock=clock, get_limit=self._get_connection_limit)
+        self.table: RouteTable | None = None
+        self._extra_calls: dict[ServiceId, ExtraCalls] = {}
+        self._latencies: dict[str, RouteLatency] = {}
+
+    @property
+    def now(self) -> Millis:
+        return self.clock.now()
+
+    @property
+    def limits(self) -> CallerLimits:
+        if self.table is None:
+            return DEFAULT_LIMITS
+        return self.table.configuration.limits
+
+    def trusts_keys(self, now: Millis) -> bool:
+        """Whether a key's withdrawal would be known here within the bound."""
+        limit_ms = self.settings.bounds.withdrawal_ms - CONFIRMATION_MARGIN_MS
+        return self.registry.get_age_ms(now) <= limit_ms
+
+    def apply_published(self) -> None:
+        """Brings the slices up to date after a change of the registry."""
+        now = self.now
+        configuration = self.registry.configuration
+        known = None if self.table is None else self.table.configuration
+        if configuration is not None and configuration is not known:
+            self.table = RouteTable(configuration=configuration, random=self.random)
+            self.quotas.configure(self.table.accounts, now)
+            self._forget_routes()
+        dropped = self.replicas.update(
+            self.registry.upstreams, frozenset(self.registry.closed_zones.values())
+        )
+        for upstream in dropped:
+            self.pool.drop(upstream)
+        self.metrics.upstreams.set(len(self.replicas.replicas))
+        if self.table is not None and self.registry.upstreams:
+            self.lifecycle.mark_ready()
+
+    def forget_upstream(self, upstream: UpstreamId) -> None:
+        """Drops an upstream whose address belongs to another one now."""
+        self.registry.forget_upstream(upstream)
+        self.apply_published()
+
+    def get_latency(self, route: Route) -> RouteLatency:
+        latency = self._latencies.get(route.name)
+        if latency is None:
+            initial_ms = max(1.0, INITIAL_LATENCY_PART * route.target_latency_ms)
+            latency = RouteLatency(initial_ms=initial_ms)
+            self._latencies[route.name] = latency
+        return latency
+
+    def get_extra_calls(self, service: ServiceId) -> ExtraCalls:
+        calls = self._extra_calls.get(service)
+        if calls is None:
+            bounds = self.settings.bounds
+            calls = ExtraCalls(
+                ratio=bounds.extra_calls_ratio,
+                slack=bounds.extra_calls_slack,
+                window_ms=bounds.extra_calls_window_ms,
+                now=self.now,
+            )
+            self._extra_calls[service] = calls
+        return calls
+
+    def try_extra_call(self, service: ServiceId, kind: ExtraCallKind) -> bool:
+        """Takes an extra call from the budget of a service, if there is one left."""
+        granted = self.get_extra_calls(service).try_spend(
+            kind, now=self.now, fleet_size=self.fleet.count_assumed()
+        )
+        self.metrics.extra_calls.labels(kind.value, str(granted).lower()).inc()
+        return granted
+
+    def choose_replica(
+        self, service: ServiceId, tried: list[UpstreamId]
+    ) -> Replica | None:
+        """Chooses an upstream, one with a free connection where there is one."""
+        replicas = self.replicas.list_service(service)
+        full = [r.entry.upstream for r in replicas if self.pool.is_full(r)]
+        connected = [
+            r.entry.upstream for r in replicas if self.pool.has_idle(r.entry.upstream)
+        ]
+        now = self.now
+        chosen = self.replicas.choose(
+            service, now=now, tried=tried, has_connection=connected, full=full
+        )
+        if chosen is None and full:
+            chosen = self.replicas.choose(service, now=now, tried=tried)
+        return chosen
+
+    def open_ahead(self) -> None:
+        """Opens a first connection to each upstream that routes lead to."""
+        if self.table is None:
+            return
+        for service in self.table.list_used_services():
+            for replica in self.replicas.list_service(service):
+                self.pool.open_ahead(replica)
+
+    def _get_connection_limit(self, replica: Replica) -> int:
+        service = None
+        if self.table is not None:
+            service = self.table.services.get(replica.entry.service)
+        if service is None or service.max_connections <= 0:
+            return replica.entry.slots
+        usable = CONNECTIONS_USED_PART * service.max_connections
+        return max(1, int(usable / self.fleet.count_assumed()))
+
+    def _forget_routes(self) -> None:
+        names = {route.name for route in self.table.configuration.routes}
+        for name in set(self._latencies) - names:
+            del self._latencies[name]
+
+    def _record_event(self, event: RegistryEvent) -> None:
+        self.log.write(
+            event.name,
+            subject=event.subject,
+            detail=event.detail,
+            revision=self.registry.revision,
+        )
+
+    def log_warning(self, event: str, **fields: object) -> None:
+        self.log.write(event, level=Level.WARNING, **fields)
--- /dev/null
+++ b/src/skylarkcart/gateway/_gather.py
@@ -0,0 +1,269 @@
+"""Runs a scatter-gather request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from skylarkcart.budgets import ExtraCallKind
+from skylarkcart.clock import Millis
+from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._ending import (
+    MILLISECONDS_PER_SECOND,
+    STATUS_BAD_GATEWAY,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    Ending,
+    Outcome,
+)
+from skylarkcart.gateway._pool import Call, CallResult
+from skylarkcart.gateway._timing import RequestTimes
+from skylarkcart.platform._messages import encode_call, encode_gathered
+from skylarkcart.published import Route
+from skylarkcart.replicas import CallEnd
+from skylarkcart.scatter import GatherExecution, GatherVerdict, Part, merge_records
+from skylarkcart.types import AccountId, UpstreamId
+from skylarkcart.verdict import RunVerdict
+
+# A part that waits longer than this quantile of the route's calls gets a second call.
+HEDGE_QUANTILE = 0.9
+
+# A second call that would not be back in time is not made; it takes this quantile.
+ANSWER_QUANTILE = 0.5
+
+MIN_HEDGE_AFTER_MS = 3.0
+
+# A hedge without budget or replica is considered again after this time.
+HEDGE_RETRY_MS = 8.0
+
+UNAVAILABLE_RETRY_AFTER_MS = 200.0
+
+
+class GatherExchange:
+    """Calls one upstream of each shard and answers with the merged parts."""
+
+    def __init__(
+        self,
+        *,
+        core: Core,
+        ending: Ending,
+        route: Route,
+        account: AccountId | None,
+        times: RequestTimes,
+    ) -> None:
+        self._core = core
+        self._ending = ending
+        self._route = route
+        self._account = account
+        self._times = times
+        self._latency = core.get_latency(route)
+        self._execution = GatherExecution(
+            shards=route.gathering.shards,
+            min_coverage=route.gathering.min_coverage,
+            max_calls=route.max_attempts,
+            answer_by=times.answer_by,
+            give_up_at=times.give_up_at,
+        )
+        self._calls: dict[Call, Part] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._hedges = 0
+        self._retries = 0
+        self._has_started = False
+
+    def start(self) -> None:
+        reachable = sum(
+            self._core.replicas.has_any(shard) for shard in self._execution.parts
+        )
+        if not self._execution.is_enough(reachable):
+            self._ending.refuse(
+                STATUS_UNAVAILABLE,
+                "too_few_shards",
+                verdict=RunVerdict.NOT_RUN,
+                retry_after_ms=UNAVAILABLE_RETRY_AFTER_MS,
+                shards=len(self._execution.parts),
+                reachable=reachable,
+            )
+            return
+        now = self._core.now
+        for part in self._execution.parts.values():
+            self._core.get_extra_calls(part.shard).note_request(now)
+            if not self._call(part):
+                part.is_lost = True
+        self._has_started = True
+        self._advance()
+
+    def abandon(self) -> None:
+        """Ends the calls, as the caller has gone."""
+        self._stop()
+        self._ending.abandon(answered=len(self._execution.answered))
+
+    def _call(self, part: Part) -> bool:
+        replica = self._core.choose_replica(part.shard, part.tried)
+        if replica is None:
+            return False
+        now = self._core.now
+        upstream = replica.entry.upstream
+        data = encode_call(
+            self._ending.request,
+            upstream=upstream,
+            time_left_ms=self._times.give_up_at - now,
+            account=self._account,
+        )
+        part.begin_call(upstream, now)
+        call = self._core.pool.call(
+            replica,
+            data,
+            request_id=self._ending.request.request_id,
+            is_repeatable=True,
+            usual_ms=self._latency.get_quantile(ANSWER_QUANTILE),
+            on_end=self._handle_end,
+        )
+        self._calls[call] = part
+        return True
+
+    def _handle_end(self, call: Call, result: CallResult) -> None:
+        part = self._calls.pop(call)
+        core = self._core
+        core.metrics.calls.labels(result.end.value).inc()
+        if result.end is CallEnd.ANSWERED:
+            elapsed_ms = core.now - call.started_at
+            self._latency.add(elapsed_ms)
+            core.metrics.call_latency.labels("part").observe(
+                elapsed_ms / MILLISECONDS_PER_SECOND
+            )
+            if not part.is_answered:
+                part.end_answered(
+                    call.upstream,
+                    signature=result.answer.signature,
+                    body=result.answer.body,
+                )
+        else:
+            self._handle_failure(part, call.upstream, result)
+        if self._has_started:
+            self._advance()
+
+    def _handle_failure(
+        self, part: Part, upstream: UpstreamId, result: CallResult
+    ) -> None:
+        if result.end is CallEnd.MISDIRECTED:
+            self._core.forget_upstream(upstream)
+        if result.verdict is RunVerdict.NOT_RUN:
+            part.end_unrun(upstream)
+        else:
+            part.end_failed(upstream)
+        self._core.log.write(
+            "part_failed",
+            request=self._ending.request.request_id.decode("latin-1"),
+            shard=part.shard,
+            upstream=upstream,
+            end=result.end.value,
+            verdict=result.verdict.value,
+            status=None if result.answer is None else result.answer.status,
+        )
+        if part.is_answered or part.waiting:
+            return
+        if self._execution.may_call(part) and self._core.try_extra_call(
+            part.shard, ExtraCallKind.RETRY
+        ):
+            if self._call(part):
+                self._retries += 1
+                return
+        part.is_lost = True
+
+    def _advance(self) -> None:
+        if self._ending.is_done:
+            return
+        now = self._core.now
+        match self._execution.decide(now):
+            case GatherVerdict.ANSWER:
+                self._answer()
+            case GatherVerdict.FAIL:
+                self._fail(now)
+            case GatherVerdict.WAIT:
+                self._hedge(now)
+                self._schedule(now)
+
+    def _hedge(self, now: Millis) -> None:
+        after_ms = self._get_hedge_after()
+        in_time = now + self._latency.get_quantile(ANSWER_QUANTILE)
+        if in_time > self._execution.answer_by and self._execution.is_enough(
+            len(self._execution.answered)
+        ):
+            return
+        for part in self._execution.list_hedges(now, after_ms=after_ms):
+            replica = self._core.choose_replica(part.shard, part.tried)
+            if replica is None or replica.is_avoided(now):
+                continue
+            if self._core.try_extra_call(part.shard, ExtraCallKind.HEDGE):
+                self._call(part)
+                self._hedges += 1
+
+    def _get_hedge_after(self) -> float:
+        return max(MIN_HEDGE_AFTER_MS, self._latency.get_quantile(HEDGE_QUANTILE))
+
+    def _schedule(self, now: Millis) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self._execution.give_up_at
+        if now < self._execution.answer_by:
+            due = min(due, self._execution.answer_by)
+        after_ms = self._get_hedge_after()
+        for part in self._execution.parts.values():
+            if len(part.waiting) == 1 and self._execution.may_call(part):
+                hedge_at = part.get_last_call() + after_ms
+                due = min(due, max(hedge_at, now + HEDGE_RETRY_MS))
+        delay_s = max(0.0, due - now) / MILLISECONDS_PER_SECOND
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._advance)
+
+    def _answer(self) -> None:
+        self._stop()
+        parts = self._execution.answered
+        missing = self._execution.missing
+        body = merge_records(
+            (part.body for part in parts), top=self._route.gathering.top_records
+        )
+        data = encode_gathered(
+            self._ending.request,
+            signatures=[part.signature for part in parts],
+            missing=missing,
+            body=body,
+            closes=self._ending.closes,
+        )
+        if missing:
+            self._core.metrics.missing_parts.inc(missing)
+        self._ending.answer(
+            data,
+            Outcome.PARTIAL if missing else Outcome.SUCCESS,
+            parts=len(parts),
+            missing=self._describe_missing(),
+            hedges=self._hedges,
+            retries=self._retries,
+        )
+
+    def _fail(self, now: Millis) -> None:
+        self._stop()
+        is_late = now >= self._execution.give_up_at
+        self._ending.refuse(
+            STATUS_GATEWAY_TIMEOUT if is_late else STATUS_BAD_GATEWAY,
+            "too_few_parts_in_time" if is_late else "too_few_parts",
+            verdict=RunVerdict.MAY_HAVE_RUN,
+            parts=len(self._execution.answered),
+            missing=self._describe_missing(),
+            hedges=self._hedges,
+            retries=self._retries,
+        )
+
+    def _describe_missing(self) -> list[str]:
+        return [
+            f"{part.shard}: {'lost' if part.is_lost else 'late'} at "
+            + ", ".join(part.tried)
+            for part in self._execution.parts.values()
+            if not part.is_answered
+        ]
+
+    def _stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        for call in self._calls:
+            self._core.pool.abandon(call)
+        self._calls.clear()
--- /dev/null
+++ b/src/skylarkcart/gateway/_instance.py
@@ -0,0 +1,145 @@
+"""A gateway instance from its start to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from skylarkcart.clock import SystemClock
+from skylarkcart.gateway._caller_connection import CallerConnection
+from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._pages import serve_metrics, serve_readiness
+from skylarkcart.gateway._peers import PeerLink, StateTransfer
+from skylarkcart.gateway._reader import StoreReader
+from skylarkcart.gateway._requests import RequestService
+from skylarkcart.gateway_settings import GatewaySettings
+
+SWEEP_INTERVAL_S = 0.25
+STOP_CHECK_S = 0.05
+
+# Connections that wait to be accepted while the process is busy.
+BACKLOG = 1_024
+
+# Time for closing connections and writing the log before the platform's SIGKILL.
+STOP_MARGIN_MS = 700.0
+
+
+class GatewayInstance:
+    """Starts the parts of an instance and stops them without cutting a request."""
+
+    def __init__(self, *, settings: GatewaySettings) -> None:
+        # The start in milliseconds orders the processes of one instance.
+        self._incarnation = time.time_ns() // 1_000_000
+        self._core = Core(
+            settings=settings,
+            clock=SystemClock(),
+            random=random.Random(),
+            incarnation=self._incarnation,
+        )
+        self._service = RequestService(core=self._core)
+        self._connections: set[CallerConnection] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._servers: list[asyncio.AbstractServer] = []
+
+    async def start(self) -> None:
+        """Opens all sockets; requests are refused until the configuration is known."""
+        core, settings = self._core, self._core.settings
+        core.log.start()
+        loop = asyncio.get_running_loop()
+        link = PeerLink(core=core, incarnation=self._incarnation)
+        await loop.create_datagram_endpoint(
+            lambda: link, local_addr=(settings.peer_host, settings.peer_port)
+        )
+        transfer = StateTransfer(core=core, link=link)
+        caller, ready = settings.caller_address, settings.readiness_address
+        self._servers = [
+            await loop.create_server(
+                self._build_connection, caller.host, caller.port, backlog=BACKLOG
+            ),
+            await serve_readiness(core, ready),
+            await serve_metrics(core, settings.peer_host, settings.metrics_port),
+            await asyncio.start_server(
+                transfer.serve, settings.peer_host, settings.peer_port
+            ),
+        ]
+        self._link = link
+        self._run(link.run())
+        self._run(transfer.run())
+        self._run(StoreReader(core=core).run())
+        self._run(self._sweep())
+        core.log.write(
+            "started",
+            zone=settings.zone,
+            incarnation=self._incarnation,
+            address=str(caller),
+        )
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Takes over settings that may change while the process runs."""
+        self._core.settings = settings
+        self._core.log.write("settings_reloaded", zone=settings.zone)
+
+    def note_invalid_settings(self, detail: str) -> None:
+        """Records settings that can't be used; those in force stay."""
+        self._core.log_warning("settings_rejected", detail=detail)
+
+    async def drain_and_stop(self) -> None:
+        """Lets the balancer turn away, ends the requests and closes connections."""
+        core = self._core
+        started_at = core.now
+        core.lifecycle.begin_drain(started_at)
+        core.log.write("draining", running=core.lifecycle.running)
+        self._link.send_reports()
+        limit_ms = core.settings.bounds.shutdown_grace_ms - STOP_MARGIN_MS
+        while not core.lifecycle.may_stop(core.now):
+            if core.now - started_at > limit_ms:
+                break
+            await asyncio.sleep(STOP_CHECK_S)
+        self._servers[0].close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        while core.lifecycle.running and core.now - started_at <= limit_ms:
+            await asyncio.sleep(STOP_CHECK_S)
+        for task in self._tasks:
+            task.cancel()
+        core.log.write("stopped", running=core.lifecycle.running)
+        core.log.flush()
+
+    def _build_connection(self) -> CallerConnection:
+        connection = CallerConnection(
+            service=self._service, on_loss=self._connections.discard
+        )
+        self._connections.add(connection)
+        return connection
+
+    async def _sweep(self) -> None:
+        core = self._core
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = core.now
+            for connection in list(self._connections):
+                connection.check_timeouts(now)
+            if core.registry.expire_held(now):
+                core.apply_published()
+            core.pool.close_idle(now)
+            age_ms = core.registry.get_age_ms(now)
+            core.metrics.state_age.set(age_ms / 1000.0)
+            core.metrics.state_revision.set(core.registry.revision)
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_task_end)
+
+    def _note_task_end(self, task: asyncio.Task[Any]) -> None:
+        if task.cancelled():
+            return
+        # A part that ended on its own leaves the instance useless; the platform starts
+        # it again.
+        error = task.exception()
+        self._core.log_warning("part_ended", detail=repr(error))
+        self._core.log.flush()
+        raise SystemExit(1) from error
--- /dev/null
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -0,0 +1,87 @@
+"""Counters and histograms of a gateway instance."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64, 1.28, 2.56, 5.12)
+
+
+class GatewayMetrics:
+    """The metrics that docs/OPERATIONS.md lists."""
+
+    def __init__(self) -> None:
+        registry = CollectorRegistry()
+        self._registry = registry
+        self.requests = Counter(
+            "skylarkcart_gateway_requests",
+            "Answered requests by route and outcome",
+            ("route", "outcome"),
+            registry=registry,
+        )
+        self.latency = Histogram(
+            "skylarkcart_gateway_request_seconds",
+            "Time from the arrival of a request to its answer",
+            ("kind",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.call_latency = Histogram(
+            "skylarkcart_gateway_call_seconds",
+            "Time from the choice of an upstream to its answer",
+            ("kind",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.calls = Counter(
+            "skylarkcart_gateway_upstream_calls",
+            "Calls to upstreams by how they ended",
+            ("end",),
+            registry=registry,
+        )
+        self.extra_calls = Counter(
+            "skylarkcart_gateway_extra_calls",
+            "Calls beyond the first of a request, and those without budget",
+            ("kind", "granted"),
+            registry=registry,
+        )
+        self.missing_parts = Counter(
+            "skylarkcart_gateway_missing_parts",
+            "Shards left out of answers",
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            "skylarkcart_gateway_store_calls",
+            "Calls to the platform's store",
+            ("result",),
+            registry=registry,
+        )
+        self.state_age = Gauge(
+            "skylarkcart_gateway_state_age_seconds",
+            "Age of the confirmation of the published state",
+            registry=registry,
+        )
+        self.state_revision = Gauge(
+            "skylarkcart_gateway_state_revision",
+            "Revision of the published state",
+            registry=registry,
+        )
+        self.peers = Gauge(
+            "skylarkcart_gateway_peers",
+            "Other instances that are known",
+            registry=registry,
+        )
+        self.upstreams = Gauge(
+            "skylarkcart_gateway_upstreams",
+            "Upstreams that may get work",
+            registry=registry,
+        )
+        self.connections_opened = Counter(
+            "skylarkcart_gateway_upstream_connections_opened",
+            "Connections opened to upstreams",
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/skylarkcart/gateway/_pages.py
@@ -0,0 +1,60 @@
+"""Readiness and metrics over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+
+from skylarkcart.gateway._core import Core
+from skylarkcart.published import Address
+
+
+class _Page(asyncio.Protocol):
+    """Answers every GET with what ``render`` returns: a status and a body."""
+
+    def __init__(self, *, render: Callable[[], tuple[int, bytes]]) -> None:
+        self._render = render
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._transport.abort()
+
+    def on_message_complete(self) -> None:
+        status, body = self._render()
+        reason = b"OK" if status == 200 else b"Service Unavailable"
+        head = b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n\r\n"
+        self._transport.write(head % (status, reason, len(body)) + body)
+        if not self._parser.should_keep_alive():
+            self._transport.close()
+
+
+async def serve_readiness(core: Core, address: Address) -> asyncio.AbstractServer:
+    """Tells the balancer whether this instance should get new connections."""
+
+    def render() -> tuple[int, bytes]:
+        core.lifecycle.note_probe()
+        is_ready = core.lifecycle.is_ready and core.trusts_keys(core.now)
+        return (200, b"ready") if is_ready else (503, b"not ready")
+
+    return await _serve(render, address.host, address.port)
+
+
+async def serve_metrics(core: Core, host: str, port: int) -> asyncio.AbstractServer:
+    """Serves counters and histograms as text."""
+    return await _serve(lambda: (200, core.metrics.render()), host, port)
+
+
+async def _serve(
+    render: Callable[[], tuple[int, bytes]], host: str, port: int
+) -> asyncio.AbstractServer:
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(lambda: _Page(render=render), host, port)
--- /dev/null
+++ b/src/skylarkcart/gateway/_peers.py
@@ -0,0 +1,171 @@
+"""Reports between instances, and the transfer of published state."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from skylarkcart.clock import Millis
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.fleet import REPORT_INTERVAL_MS, Report, decode_report, encode_report
+from skylarkcart.gateway._core import Core
+from skylarkcart.registry import Published
+
+# A transfer of the whole published state between two instances.
+TRANSFER_TIMEOUT_S = 1.0
+
+# Published state arrives from the store's readers; a peer is asked only if it is ahead
+# for this long.
+TRANSFER_PAUSE_S = 0.05
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Sends this instance's reports and hears those of others."""
+
+    def __init__(self, *, core: Core, incarnation: int) -> None:
+        self._core = core
+        self._incarnation = incarnation
+        self._transport: asyncio.DatagramTransport | None = None
+        self.ahead = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        try:
+            report = decode_report(data)
+        except InvalidValueError as error:
+            self._core.log_warning("report_unreadable", detail=str(error))
+            return
+        self._hear(report)
+
+    def error_received(self, error: OSError) -> None:
+        self._core.log.write("report_undelivered", detail=repr(error), limit=5)
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            self.send_reports()
+            self._watch_peers()
+            await asyncio.sleep(REPORT_INTERVAL_MS / 1000.0)
+
+    def send_reports(self) -> None:
+        core = self._core
+        now = core.now
+        age_ms = core.registry.get_age_ms(now)
+        spent = core.quotas.build_report()
+        for host in core.fleet.start_round(now):
+            report = core.fleet.build_report(
+                to_host=host,
+                now=now,
+                revision=core.registry.revision,
+                confirmed_age_ms=-1.0 if age_ms == float("inf") else age_ms,
+                is_leaving=core.lifecycle.is_draining,
+                spent=spent,
+            )
+            self._transport.sendto(
+                encode_report(report), (host, core.settings.peer_port)
+            )
+
+    def _hear(self, report: Report) -> None:
+        core = self._core
+        now = core.now
+        is_known = report.instance in core.fleet.peers
+        if not core.fleet.hear(report, now):
+            return
+        if not is_known:
+            core.log.write("peer_found", peer=report.instance, zone=report.zone)
+        core.quotas.hear(report.instance, report.incarnation, report.spent, now)
+        core.quotas.reachable_part = core.fleet.get_reachable_part(now)
+        if report.revision > core.registry.revision:
+            self.ahead.set()
+        elif report.echo_ms >= 0 and report.confirmed_age_ms >= 0:
+            if report.revision == core.registry.revision:
+                # The report was made after the moment that it echoes.
+                core.registry.confirm(
+                    Millis(min(now, report.echo_ms) - report.confirmed_age_ms)
+                )
+
+    def _watch_peers(self) -> None:
+        core = self._core
+        now = core.now
+        for peer in core.fleet.forget_lost(now):
+            core.quotas.forget(peer.instance, peer.incarnation)
+            core.log_warning("peer_lost", peer=peer.instance, zone=peer.zone)
+        core.quotas.reachable_part = core.fleet.get_reachable_part(now)
+        core.metrics.peers.set(len(core.fleet.peers))
+
+
+class StateTransfer:
+    """Serves the published state to other instances and asks them for newer state.
+
+    An instance sends its revision as 8 bytes and gets the state in MessagePack, or
+    nothing if the other one is not ahead.
+    """
+
+    def __init__(self, *, core: Core, link: PeerLink) -> None:
+        self._core = core
+        self._link = link
+        self._encoded: tuple[int, bytes] = (0, b"")
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers one connection of another instance."""
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                revision = int.from_bytes(await reader.readexactly(8))
+                if revision < self._core.registry.revision:
+                    writer.write(self._encode())
+                    await writer.drain()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self._core.log.write("state_not_sent", detail=repr(error), limit=5)
+        finally:
+            writer.close()
+
+    async def run(self) -> None:
+        """Fetches state from peers that are ahead until cancelled."""
+        while True:
+            await self._link.ahead.wait()
+            self._link.ahead.clear()
+            await asyncio.sleep(TRANSFER_PAUSE_S * self._core.random.random())
+            await self._fetch()
+
+    async def _fetch(self) -> None:
+        core = self._core
+        for peer in core.fleet.list_ahead(core.registry.revision, core.now)[:2]:
+            try:
+                async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                    published = await self._ask(peer.host)
+            except (OSError, TimeoutError, msgspec.DecodeError) as error:
+                core.log.write(
+                    "state_not_fetched", peer=peer.instance, detail=repr(error)
+                )
+                continue
+            if published is not None and core.registry.adopt(published, core.now):
+                core.log.write(
+                    "state_fetched", peer=peer.instance, revision=published.revision
+                )
+                core.apply_published()
+                return
+
+    async def _ask(self, host: str) -> Published | None:
+        reader, writer = await asyncio.open_connection(
+            host, self._core.settings.peer_port
+        )
+        try:
+            writer.write(self._core.registry.revision.to_bytes(8))
+            data = await reader.read(-1)
+        finally:
+            writer.close()
+        if not data:
+            return None
+        return msgspec.msgpack.decode(data, type=Published)
+
+    def _encode(self) -> bytes:
+        registry = self._core.registry
+        if self._encoded[0] != registry.revision:
+            published = registry.build_published()
+            self._encoded = (registry.revision, msgspec.msgpack.encode(published))
+        return self._encoded[1]
--- /dev/null
+++ b/src/skylarkcart/gateway/_pool.py
@@ -0,0 +1,345 @@
+"""Connections to upstreams and the calls on them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from skylarkcart.clock import Clock, Millis
+from skylarkcart.exchange import UpstreamAnswer
+from skylarkcart.gateway._upstream_connection import UpstreamConnection
+from skylarkcart.replicas import CallEnd, Replica
+from skylarkcart.types import UpstreamId
+from skylarkcart.verdict import RunVerdict
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+# A connection that is not made by then is given up; the platform's callers allow as
+# much for theirs.
+CONNECT_TIMEOUT_S = 1.0
+
+# An abandoned call that ends within this time leaves its connection usable; the
+# platform allows an upstream half a second of work after its caller has gone.
+ABANDONED_LINGER_S = 0.3
+
+# An upstream stops work at the deadline that it was given; this is longer than any.
+UNREPEATABLE_LINGER_S = 30.0
+
+# A connection idle for longer may have been forgotten by the other end.
+MAX_IDLE_MS = 8_000.0
+
+# A non-idempotent request can't be repeated after a reset, so that it takes only a
+# connection that was used just before.
+MAX_IDLE_UNREPEATABLE_MS = 1_000.0
+
+# An upstream closes an idle connection after the time that it states; the request and
+# its delay need some of it.
+IDLE_TIMEOUT_MARGIN_MS = 1_500.0
+
+
+class CallResult(msgspec.Struct, frozen=True, kw_only=True):
+    """How a call ended, with its answer if there is a whole one."""
+
+    end: CallEnd
+    verdict: RunVerdict
+    answer: UpstreamAnswer | None = None
+
+
+CallHandler = Callable[["Call", CallResult], None]
+
+
+class Call:
+    """One request to one upstream, from its choice to its end."""
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        replica: Replica,
+        data: bytes,
+        request_id: bytes,
+        is_repeatable: bool,
+        started_at: Millis,
+        on_end: CallHandler,
+    ) -> None:
+        self.number = number
+        self.replica = replica
+        self.data = data
+        self.request_id = request_id
+        self.is_repeatable = is_repeatable
+        self.started_at = started_at
+        self.on_end = on_end
+        self.connection: UpstreamConnection | None = None
+        self.is_ended = False
+
+    @property
+    def upstream(self) -> UpstreamId:
+        return self.replica.entry.upstream
+
+    @property
+    def is_sent(self) -> bool:
+        return self.connection is not None
+
+
+class _UpstreamSockets:
+    """The connections to one upstream."""
+
+    def __init__(self) -> None:
+        self.idle: collections.deque[tuple[UpstreamConnection, Millis]] = (
+            collections.deque()
+        )
+        self.busy: dict[UpstreamConnection, Call] = {}
+        self.connecting = 0
+        self.waiting: collections.deque[Call] = collections.deque()
+
+    @property
+    def total(self) -> int:
+        return len(self.idle) + len(self.busy) + self.connecting
+
+
+class UpstreamPool:
+    """Keeps connections open between calls, within this instance's part of the limit."""
+
+    def __init__(self, *, clock: Clock, get_limit: Callable[[Replica], int]) -> None:
+        self._clock = clock
+        self._get_limit = get_limit
+        self._sockets: dict[UpstreamId, _UpstreamSockets] = {}
+        self._numbers = itertools.count(1)
+        self._connects: set[asyncio.Task[None]] = set()
+        self.opened = 0
+
+    def call(
+        self,
+        replica: Replica,
+        data: bytes,
+        *,
+        request_id: bytes,
+        is_repeatable: bool,
+        usual_ms: float,
+        on_end: CallHandler,
+    ) -> Call:
+        """Sends a request as soon as a connection is free; ``on_end`` is called once."""
+        now = self._clock.now()
+        call = Call(
+            number=next(self._numbers),
+            replica=replica,
+            data=data,
+            request_id=request_id,
+            is_repeatable=is_repeatable,
+            started_at=now,
+            on_end=on_end,
+        )
+        replica.begin_call(call.number, now=now, usual_ms=usual_ms)
+        sockets = self._sockets.setdefault(call.upstream, _UpstreamSockets())
+        connection = self._take_idle(sockets, call, now)
+        if connection is not None:
+            self._send(sockets, connection, call)
+            return call
+        sockets.waiting.append(call)
+        self._open_if_needed(replica, sockets)
+        return call
+
+    def abandon(self, call: Call) -> None:
+        """Ends a call whose answer is of no more use.
+
+        A call that was sent keeps its connection for a short time, as its answer
+        probably arrives within it and the connection stays usable.
+        """
+        if call.is_ended:
+            return
+        call.is_ended = True
+        if call.connection is None:
+            self._sockets[call.upstream].waiting.remove(call)
+            call.replica.end_call(call.number, CallEnd.ABANDONED, now=self._clock.now())
+            return
+        # A non-idempotent request that was sent is left to run to its end, so that its
+        # effect is not cut in the middle.
+        linger_s = ABANDONED_LINGER_S if call.is_repeatable else UNREPEATABLE_LINGER_S
+        loop = asyncio.get_running_loop()
+        loop.call_later(linger_s, self._close_abandoned, call)
+
+    def has_idle(self, upstream: UpstreamId) -> bool:
+        sockets = self._sockets.get(upstream)
+        return sockets is not None and bool(sockets.idle)
+
+    def is_full(self, replica: Replica) -> bool:
+        """Whether a call would have to wait for another one to end."""
+        sockets = self._sockets.get(replica.entry.upstream)
+        if sockets is None or sockets.idle:
+            return False
+        return sockets.total >= self._get_limit(replica)
+
+    def count_connections(self, upstream: UpstreamId) -> int:
+        sockets = self._sockets.get(upstream)
+        return 0 if sockets is None else sockets.total
+
+    def open_ahead(self, replica: Replica) -> None:
+        """Opens a first connection, so that no call has to wait for it."""
+        sockets = self._sockets.setdefault(replica.entry.upstream, _UpstreamSockets())
+        if sockets.total == 0:
+            self._open(replica, sockets)
+
+    def drop(self, upstream: UpstreamId) -> None:
+        """Closes the idle connections of an upstream that gets no more work."""
+        sockets = self._sockets.get(upstream)
+        if sockets is None:
+            return
+        while sockets.idle:
+            sockets.idle.pop()[0].close()
+        if sockets.total == 0 and not sockets.waiting:
+            del self._sockets[upstream]
+
+    def close_idle(self, now: Millis) -> None:
+        """Closes connections that were idle for too long to be trusted."""
+        for sockets in self._sockets.values():
+            while sockets.idle:
+                connection, since = sockets.idle[0]
+                if now - since <= _get_max_idle_ms(connection):
+                    break
+                sockets.idle.popleft()
+                connection.close()
+
+    def _take_idle(
+        self, sockets: _UpstreamSockets, call: Call, now: Millis
+    ) -> UpstreamConnection | None:
+        while sockets.idle:
+            connection, since = sockets.idle.pop()
+            limit_ms = _get_max_idle_ms(connection)
+            if not call.is_repeatable:
+                limit_ms = min(limit_ms, MAX_IDLE_UNREPEATABLE_MS)
+            if connection.is_open and now - since <= limit_ms:
+                return connection
+            connection.close()
+        return None
+
+    def _open_if_needed(self, replica: Replica, sockets: _UpstreamSockets) -> None:
+        if sockets.connecting >= len(sockets.waiting):
+            return
+        if sockets.total < self._get_limit(replica):
+            self._open(replica, sockets)
+
+    def _open(self, replica: Replica, sockets: _UpstreamSockets) -> None:
+        sockets.connecting += 1
+        self.opened += 1
+        task = asyncio.get_running_loop().create_task(self._connect(replica, sockets))
+        self._connects.add(task)
+        task.add_done_callback(self._connects.discard)
+
+    async def _connect(self, replica: Replica, sockets: _UpstreamSockets) -> None:
+        loop = asyncio.get_running_loop()
+        address = replica.entry.address
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(
+                        on_answer=self._handle_answer, on_loss=self._handle_loss
+                    ),
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError):
+            sockets.connecting -= 1
+            self._fail_waiting(replica, sockets)
+            return
+        sockets.connecting -= 1
+        connection.upstream = replica.entry.upstream
+        self._put_idle(replica, sockets, connection)
+
+    def _fail_waiting(self, replica: Replica, sockets: _UpstreamSockets) -> None:
+        if sockets.idle or sockets.busy:
+            return
+        waiting = list(sockets.waiting)
+        sockets.waiting.clear()
+        result = CallResult(end=CallEnd.REFUSED_CONNECTION, verdict=RunVerdict.NOT_RUN)
+        for call in waiting:
+            self._end(call, result)
+
+    def _put_idle(
+        self,
+        replica: Replica,
+        sockets: _UpstreamSockets,
+        connection: UpstreamConnection,
+    ) -> None:
+        if not connection.is_open:
+            return
+        if sockets.waiting:
+            self._send(sockets, connection, sockets.waiting.popleft())
+            return
+        sockets.idle.append((connection, self._clock.now()))
+
+    def _send(
+        self, sockets: _UpstreamSockets, connection: UpstreamConnection, call: Call
+    ) -> None:
+        call.connection = connection
+        sockets.busy[connection] = call
+        connection.send(call.data, request_id=call.request_id)
+
+    def _handle_answer(
+        self, connection: UpstreamConnection, answer: UpstreamAnswer
+    ) -> None:
+        sockets = self._sockets.get(connection.upstream)
+        call = None if sockets is None else sockets.busy.pop(connection, None)
+        if call is None:
+            connection.close()
+            return
+        if connection.is_reusable and connection.is_open:
+            self._put_idle(call.replica, sockets, connection)
+        else:
+            # Closed once the parser has returned; a call that waits needs another.
+            asyncio.get_running_loop().call_soon(connection.close)
+            self._open_if_needed(call.replica, sockets)
+        self._end(call, _judge_answer(answer))
+
+    def _handle_loss(self, connection: UpstreamConnection) -> None:
+        sockets = self._sockets.get(connection.upstream)
+        if sockets is None:
+            return
+        for entry in list(sockets.idle):
+            if entry[0] is connection:
+                sockets.idle.remove(entry)
+        call = sockets.busy.pop(connection, None)
+        if call is None:
+            return
+        self._open_if_needed(call.replica, sockets)
+        self._end(call, CallResult(end=CallEnd.LOST, verdict=RunVerdict.MAY_HAVE_RUN))
+
+    def _close_abandoned(self, call: Call) -> None:
+        sockets = self._sockets.get(call.upstream)
+        connection = call.connection
+        if sockets is None or sockets.busy.get(connection) is not call:
+            return
+        del sockets.busy[connection]
+        connection.close()
+        call.replica.end_call(call.number, CallEnd.ABANDONED, now=self._clock.now())
+        self._open_if_needed(call.replica, sockets)
+
+    def _end(self, call: Call, result: CallResult) -> None:
+        load = None if result.answer is None else result.answer.load
+        now = self._clock.now()
+        call.replica.end_call(call.number, result.end, now=now, load=load)
+        if not call.is_ended:
+            call.is_ended = True
+            call.on_end(call, result)
+
+
+def _judge_answer(answer: UpstreamAnswer) -> CallResult:
+    if answer.is_misdirected:
+        end, verdict = CallEnd.MISDIRECTED, RunVerdict.NOT_RUN
+    elif answer.is_not_run:
+        end, verdict = CallEnd.SHED, RunVerdict.NOT_RUN
+    elif answer.is_success:
+        end, verdict = CallEnd.ANSWERED, RunVerdict.RAN
+    else:
+        end, verdict = CallEnd.FAILED, RunVerdict.RAN
+    return CallResult(end=end, verdict=verdict, answer=answer)
+
+
+def _get_max_idle_ms(connection: UpstreamConnection) -> float:
+    if connection.idle_timeout_s is None:
+        return MAX_IDLE_MS
+    stated_ms = connection.idle_timeout_s * MILLISECONDS_PER_SECOND
+    return min(MAX_IDLE_MS, max(0.0, stated_ms - IDLE_TIMEOUT_MARGIN_MS))
--- /dev/null
+++ b/src/skylarkcart/gateway/_requests.py
@@ -0,0 +1,78 @@
+"""Handles callers' requests."""
+
+from __future__ import annotations
+
+from skylarkcart.clock import Clock, Millis
+from skylarkcart.exchange import CallerRequest
+from skylarkcart.gateway._admission import Refusal, admit
+from skylarkcart.gateway._caller_connection import CallerConnection, Exchange
+from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._ending import Ending
+from skylarkcart.gateway._gather import GatherExchange
+from skylarkcart.gateway._relay import RelayExchange
+from skylarkcart.gateway._timing import plan_times
+from skylarkcart.published import CallerLimits
+from skylarkcart.verdict import RunVerdict
+
+
+class RequestService:
+    """Admits requests and starts their exchange with upstreams."""
+
+    def __init__(self, *, core: Core) -> None:
+        self._core = core
+        self.clock: Clock = core.clock
+
+    def get_caller_limits(self) -> CallerLimits:
+        return self._core.limits
+
+    def closes_connections(self) -> bool:
+        return self._core.lifecycle.closes_connections
+
+    def note_rejected(self, reason: str, status: int) -> None:
+        """Records a request that was refused before it was read whole."""
+        self._core.metrics.requests.labels("", "rejected").inc()
+        self._core.log_warning("request_rejected", reason=reason, status=status)
+
+    def handle(
+        self, connection: CallerConnection, request: CallerRequest, arrived_at: Millis
+    ) -> Exchange | None:
+        """Starts work on a request; returns None if it is answered already."""
+        core = self._core
+        core.lifecycle.begin_request(arrived_at)
+        ending = Ending(
+            core=core, connection=connection, request=request, arrived_at=arrived_at
+        )
+        admission = admit(core, request, core.now)
+        if isinstance(admission, Refusal):
+            ending.refuse(
+                admission.status,
+                admission.reason,
+                verdict=RunVerdict.NOT_RUN,
+                retry_after_ms=admission.retry_after_ms,
+            )
+            return None
+        route = admission.route
+        ending.route_name = route.name
+        times = plan_times(request, route, arrived_at=arrived_at)
+        exchange: GatherExchange | RelayExchange
+        if route.gathering is not None:
+            ending.kind = "gather"
+            exchange = GatherExchange(
+                core=core,
+                ending=ending,
+                route=route,
+                account=admission.account,
+                times=times,
+            )
+        else:
+            ending.kind = "relay"
+            exchange = RelayExchange(
+                core=core,
+                ending=ending,
+                route=route,
+                service=core.table.choose_service(route),
+                account=admission.account,
+                times=times,
+            )
+        exchange.start()
+        return exchange
--- /dev/null
+++ b/src/skylarkcart/gateway/main.py
@@ -0,0 +1,102 @@
+"""``skylarkcart-gateway`` runs one gateway instance on the platform.
+
+The settings file is named by the flag ``--settings`` or by the platform's variable.
+Exit codes: 0 after a graceful shutdown, 2 when the settings are not valid.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+from absl import flags
+
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.gateway._instance import GatewayInstance
+from skylarkcart.platform._machine import read_machine_settings
+from skylarkcart.platform._names import SETTINGS_VARIABLE
+
+EXIT_INVALID = 2
+
+# The settings file may change without a signal.
+SETTINGS_CHECK_S = 2.0
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "Path of the platform's settings file."
+)
+_CHECK = flags.DEFINE_bool("check", False, "Only check the settings file.")
+
+
+def run() -> None:
+    """Entry point of the console script."""
+    try:
+        arguments = flags.FLAGS(sys.argv)
+    except flags.Error as error:
+        _exit_invalid(str(error))
+    if len(arguments) > 1:
+        _exit_invalid(f"unexpected argument {arguments[1]!r}, expected only flags")
+    path = _SETTINGS.value or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        _exit_invalid(f"neither --settings nor {SETTINGS_VARIABLE} names a file")
+    try:
+        settings = read_machine_settings(pathlib.Path(path))
+    except InvalidValueError as error:
+        _exit_invalid(str(error))
+    except ExceptionGroup as group:
+        _exit_invalid("\n".join(str(error) for error in group.exceptions))
+    if _CHECK.value:
+        print(f"{path}: valid settings of {settings.instance}")
+        return
+    asyncio.run(_serve(pathlib.Path(path), GatewayInstance(settings=settings)))
+
+
+async def _serve(path: pathlib.Path, instance: GatewayInstance) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, instance)
+    await instance.start()
+    watcher = loop.create_task(_watch_settings(path, instance))
+    await stop.wait()
+    watcher.cancel()
+    await instance.drain_and_stop()
+
+
+async def _watch_settings(path: pathlib.Path, instance: GatewayInstance) -> None:
+    known = _get_version(path)
+    while True:
+        await asyncio.sleep(SETTINGS_CHECK_S)
+        version = _get_version(path)
+        if version != known:
+            known = version
+            _reload(path, instance)
+
+
+def _get_version(path: pathlib.Path) -> tuple[int, int] | None:
+    try:
+        status = path.stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
+def _reload(path: pathlib.Path, instance: GatewayInstance) -> None:
+    try:
+        settings = read_machine_settings(path)
+    except (InvalidValueError, ExceptionGroup) as error:
+        instance.note_invalid_settings(str(error))
+        return
+    instance.reload(settings)
+
+
+def _exit_invalid(message: str) -> None:
+    print(message, file=sys.stderr)
+    sys.exit(EXIT_INVALID)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/skylarkcart/gateway_settings.py
@@ -0,0 +1,49 @@
+"""Settings of a gateway instance, whatever file they came from."""
+
+from __future__ import annotations
+
+import msgspec
+
+from skylarkcart.published import Address
+from skylarkcart.types import InstanceId, ZoneId
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits that the platform's operators set for the whole fleet.
+
+    ``withdrawal_ms`` is the time after which a withdrawn key may not work anywhere.
+    In any ``extra_calls_window_ms``, the fleet may send a service
+    ``extra_calls_ratio`` extra calls for each request, and ``extra_calls_slack`` more.
+    """
+
+    drain_ms: float
+    shutdown_grace_ms: float
+    configuration_ms: float
+    withdrawal_ms: float
+    extra_calls_ratio: float
+    extra_calls_window_ms: float
+    extra_calls_slack: float
+    cold_overshoot: float
+    cold_slack: float
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What a gateway instance is told at its start.
+
+    ``seed_hosts`` are instances that may be stale or down. All instances of a fleet
+    use the same ``peer_port``. ``max_sockets`` bounds open sockets.
+    """
+
+    instance: InstanceId
+    zone: ZoneId
+    zones: tuple[ZoneId, ...]
+    caller_address: Address
+    readiness_address: Address
+    platform_address: Address
+    peer_host: str
+    peer_port: int
+    metrics_port: int
+    seed_hosts: tuple[str, ...]
+    heartbeat_ms: float
+    max_sockets: int
+    bounds: Bounds
--- a/src/skylarkcart/platform/__init__.py
+++ b/src/skylarkcart/platform/__init__.py
@@ -1,15 +1,22 @@
-"""The platform's interface and its HTTP adapter."""
+"""The platform's interface and its HTTP adapter.
+
+An import of one name does not load the others, as the small instances of the gateway
+need neither the HTTP client nor the stand-ins' formats.
+"""
 
 from __future__ import annotations
 
-from skylarkcart.platform._http import HttpPlatform
-from skylarkcart.platform._interface import (
-    CONFIGURATION_KEY,
-    Platform,
-    PlatformError,
-    PublishedValue,
-    build_index_key,
-)
+import importlib
+from typing import Any
+
+_MODULES = {
+    "CONFIGURATION_KEY": "_interface",
+    "HttpPlatform": "_http",
+    "Platform": "_interface",
+    "PlatformError": "_interface",
+    "PublishedValue": "_interface",
+    "build_index_key": "_interface",
+}
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -19,3 +26,10 @@
     "PublishedValue",
     "build_index_key",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
+    return getattr(module, name)
--- /dev/null
+++ b/src/skylarkcart/platform/_documents.py
@@ -0,0 +1,223 @@
+"""Decodes the documents that operators and upstreams store on the platform."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.platform._names import (
+    CLOSED_ZONE_PREFIX,
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+)
+from skylarkcart.published import (
+    Account,
+    Address,
+    CallerLimits,
+    Configuration,
+    Gathering,
+    Route,
+    Service,
+    ServiceShare,
+    UpstreamEntry,
+    UpstreamState,
+)
+from skylarkcart.types import AccountId, ServiceId, UpstreamId, ZoneId
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class _Document(msgspec.Struct, frozen=True, rename="camel"):
+    pass
+
+
+class _Share(_Document, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(_Document, frozen=True):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    service: str | None = None
+    split: tuple[_Share, ...] = ()
+    gather: tuple[str, ...] = ()
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+
+class _Service(_Document, frozen=True):
+    name: str
+    max_conns: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Limits(_Document, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(_Document, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Configuration(_Document, frozen=True):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
+
+
+class _Server(_Document, frozen=True):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    cold_left_ms: float
+    # Unix milliseconds of the start of the upstream's process.
+    born: int | None = None
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decodes the operators' configuration.
+
+    Raises:
+        InvalidValueError: the document is not readable or lacks a field.
+    """
+    document = _decode(CONFIGURATION_KEY, data, _Configuration)
+    return Configuration(
+        version=document.version,
+        routes=tuple(_convert_route(route) for route in document.routes),
+        services=tuple(_convert_service(service) for service in document.services),
+        limits=CallerLimits(
+            max_header_bytes=document.limits.max_header_bytes,
+            max_body_bytes=document.limits.max_body_bytes,
+            header_timeout_ms=document.limits.header_timeout_ms,
+            idle_timeout_ms=document.limits.idle_timeout_ms,
+        ),
+        accounts=tuple(_convert_account(tenant) for tenant in document.tenants),
+    )
+
+
+def decode_upstream(key: str, data: bytes) -> UpstreamEntry:
+    """Decodes the entry of an upstream.
+
+    Raises:
+        InvalidValueError: a field is missing, of another type, or names a state that is
+            not known, so that the entry names no upstream to use.
+    """
+    document = _decode(key, data, _Server)
+    try:
+        state = UpstreamState(document.state)
+    except ValueError as error:
+        raise InvalidValueError(
+            where=f"{key}: state", value=document.state, expected="ready or draining"
+        ) from error
+    if not document.service:
+        raise InvalidValueError(
+            where=f"{key}: service", value="", expected="the name of a service"
+        )
+    return UpstreamEntry(
+        upstream=UpstreamId(key.removeprefix(UPSTREAM_PREFIX)),
+        service=ServiceId(document.service),
+        address=decode_address(f"{key}: address", document.address),
+        zone=ZoneId(document.zone),
+        slots=max(1, document.slots),
+        state=state,
+        cold_left_ms=document.cold_left_ms,
+        born_ms=document.born,
+    )
+
+
+def decode_closed_zone(key: str) -> ZoneId:
+    """Returns the availability zone that a key closes.
+
+    >>> decode_closed_zone("op/evacuate/zone-a")
+    'zone-a'
+    """
+    return ZoneId(key.removeprefix(CLOSED_ZONE_PREFIX))
+
+
+def decode_address(where: str, value: str) -> Address:
+    """Reads ``a.b.c.d:port``."""
+    host, _, port = value.rpartition(":")
+    if host and port.isdecimal() and 0 < int(port) <= 65_535:
+        return Address(host=host, port=int(port))
+    raise InvalidValueError(
+        where=where, value=value, expected="an address such as 10.0.0.1:8080"
+    )
+
+
+def _decode(where: str, data: bytes, document_type: type) -> Any:
+    try:
+        return msgspec.json.decode(data, type=document_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidValueError(
+            where=where, value=data[:80], expected=f"a readable document: {error}"
+        ) from error
+
+
+def _convert_route(route: _Route) -> Route:
+    shares = route.split
+    if route.service:
+        shares = (_Share(service=route.service, weight=1.0),)
+    gathering = None
+    if route.gather:
+        gathering = Gathering(
+            shards=tuple(ServiceId(name) for name in route.gather),
+            top_records=route.top_k,
+            min_coverage=route.min_coverage,
+        )
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        is_idempotent=route.kind == "safe",
+        timeout_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        max_attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        is_public=route.public,
+        shares=tuple(
+            ServiceShare(service=ServiceId(share.service), weight=share.weight)
+            for share in shares
+        ),
+        gathering=gathering,
+    )
+
+
+def _convert_service(service: _Service) -> Service:
+    return Service(
+        service=ServiceId(service.name),
+        max_connections=service.max_conns,
+        cold_start_ms=service.cold_start_s * MILLISECONDS_PER_SECOND,
+        cold_calls_per_s=service.cold_per_s,
+    )
+
+
+def _convert_account(tenant: _Tenant) -> Account:
+    return Account(
+        account=AccountId(tenant.name),
+        keys=tenant.api_keys,
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+    )
--- /dev/null
+++ b/src/skylarkcart/platform/_machine.py
@@ -0,0 +1,131 @@
+"""Decodes the settings file that the platform places on each machine."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import msgspec
+
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.gateway_settings import Bounds, GatewaySettings
+from skylarkcart.platform._documents import decode_address
+from skylarkcart.types import InstanceId, ZoneId
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+
+class _Section(msgspec.Struct, frozen=True, rename="camel"):
+    pass
+
+
+class _Listen(_Section, frozen=True):
+    front: str
+    ready: str
+    control: str
+
+
+class _Limits(_Section, frozen=True):
+    memory_mb: int = 300
+    max_fds: int = 1024
+
+
+class _Bounds(_Section, frozen=True):
+    drain_ms: float = 3_000.0
+    grace_s: float = 6.0
+    config_apply_ms: float = 3_000.0
+    revoke_strict: bool = True
+    revoke_ms: float = 5_000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    retry_budget_slack: float = 50.0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
+
+
+class _Store(_Section, frozen=True):
+    address: str
+
+
+class _Machine(_Section, frozen=True):
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    listen_addrs: _Listen
+    platform: _Store
+    heartbeat_ms: float = 1_200.0
+    zones: dict[str, str] = {}
+    seeds: tuple[str, ...] = ()
+    limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
+
+
+def read_machine_settings(path: pathlib.Path) -> GatewaySettings:
+    """Reads the platform's settings file; fields that are not known are ignored.
+
+    Raises:
+        InvalidValueError: the file can't be read or lacks a field.
+        ExceptionGroup: several addresses are not valid.
+    """
+    try:
+        data = path.read_bytes()
+        document = msgspec.toml.decode(data, type=_Machine)
+    except OSError as error:
+        raise InvalidValueError(
+            where="settings file", value=str(path), expected="a readable file"
+        ) from error
+    except (msgspec.DecodeError, ValueError) as error:
+        raise InvalidValueError(
+            where=str(path), value=data[:80], expected=f"valid settings: {error}"
+        ) from error
+    return _convert(document)
+
+
+def _convert(document: _Machine) -> GatewaySettings:
+    texts = {
+        "listenAddrs.front": document.listen_addrs.front,
+        "listenAddrs.ready": document.listen_addrs.ready,
+        "platform.address": document.platform.address,
+    }
+    texts.update({f"seeds.{i}": seed for i, seed in enumerate(document.seeds)})
+    addresses: dict[str, Any] = {}
+    errors = []
+    for where, text in texts.items():
+        try:
+            addresses[where] = decode_address(where, text)
+        except InvalidValueError as error:
+            errors.append(error)
+    if errors:
+        raise ExceptionGroup("settings are not valid", errors)
+    return GatewaySettings(
+        instance=InstanceId(document.node_name),
+        zone=ZoneId(document.zone),
+        zones=tuple(ZoneId(name) for name in document.zones),
+        caller_address=addresses["listenAddrs.front"],
+        readiness_address=addresses["listenAddrs.ready"],
+        platform_address=addresses["platform.address"],
+        peer_host=document.ip,
+        peer_port=document.internal_ports[0],
+        metrics_port=document.internal_ports[1],
+        seed_hosts=tuple(
+            addresses[f"seeds.{i}"].host for i in range(len(document.seeds))
+        ),
+        heartbeat_ms=document.heartbeat_ms,
+        max_sockets=max(64, document.limits.max_fds - 200),
+        bounds=_convert_bounds(document.bounds),
+    )
+
+
+def _convert_bounds(bounds: _Bounds) -> Bounds:
+    return Bounds(
+        drain_ms=bounds.drain_ms,
+        shutdown_grace_ms=bounds.grace_s * MILLISECONDS_PER_SECOND,
+        configuration_ms=bounds.config_apply_ms,
+        withdrawal_ms=bounds.revoke_ms if bounds.revoke_strict else float("inf"),
+        extra_calls_ratio=bounds.retry_budget_ratio,
+        extra_calls_window_ms=bounds.budget_window_s * MILLISECONDS_PER_SECOND,
+        extra_calls_slack=bounds.retry_budget_slack,
+        cold_overshoot=bounds.cold_overshoot,
+        cold_slack=bounds.cold_slack,
+    )
--- /dev/null
+++ b/src/skylarkcart/platform/_messages.py
@@ -0,0 +1,245 @@
+"""Requests of callers, calls to upstreams and their answers as HTTP heads."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.exchange import CallerRequest, ReportedLoad, UpstreamAnswer
+from skylarkcart.platform import _names as names
+from skylarkcart.types import AccountId, UpstreamId
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+CRLF = b"\r\n"
+STATUS_MISDIRECTED = 421
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+# They concern one connection only (RFC 9110, section 7.6.1) or are framed anew.
+_CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_SET_BY_GATEWAY = frozenset(
+    (names.TIME_LEFT, names.API_KEY, names.ACCOUNT, names.EXPECTED_UPSTREAM)
+)
+_UPSTREAM_ONLY = frozenset((names.LOAD, names.NOT_RUN, names.ANSWERING_UPSTREAM))
+
+
+def decode_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes
+) -> CallerRequest:
+    """Decodes a caller's request.
+
+    Raises:
+        InvalidValueError: it has no id, or several hosts, ids or keys.
+    """
+    fields: dict[bytes, list[bytes]] = {}
+    for name, value in headers:
+        fields.setdefault(name.lower(), []).append(value)
+    dropped = _CONNECTION_HEADERS | _SET_BY_GATEWAY | _list_connection_options(fields)
+    forwarded = b"".join(
+        name + b": " + value + CRLF
+        for name, value in headers
+        if name.lower() not in dropped
+    )
+    request_id = _get_single(fields, names.REQUEST_ID)
+    if not request_id:
+        raise InvalidValueError(
+            where="request", value=target[:80], expected="a header with its id"
+        )
+    host = _get_single(fields, b"host") or b""
+    key = _get_single(fields, names.API_KEY)
+    return CallerRequest(
+        method=method,
+        target=target,
+        path=target.partition(b"?")[0].decode("latin-1"),
+        host=host.partition(b":")[0].decode("latin-1").lower(),
+        request_id=request_id,
+        time_left_ms=_read_number(_get_single(fields, names.TIME_LEFT)),
+        key=None if key is None else key.decode("latin-1"),
+        forwarded=forwarded,
+        body=body,
+    )
+
+
+def encode_call(
+    request: CallerRequest,
+    *,
+    upstream: UpstreamId,
+    time_left_ms: float,
+    account: AccountId | None,
+) -> bytes:
+    """Encodes a call to an upstream with the caller's method, target and body."""
+    lines = [
+        request.method + b" " + request.target + b" HTTP/1.1" + CRLF,
+        request.forwarded,
+        b"%b: %d\r\n" % (names.TIME_LEFT, max(1, int(time_left_ms))),
+        names.EXPECTED_UPSTREAM + b": " + upstream.encode() + CRLF,
+    ]
+    if account is not None:
+        lines.append(names.ACCOUNT + b": " + account.encode() + CRLF)
+    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines.append(CRLF)
+    lines.append(request.body)
+    return b"".join(lines)
+
+
+def decode_answer(status: int, headers: Headers, body: bytes) -> UpstreamAnswer:
+    """Decodes a complete answer of an upstream."""
+    fields: dict[bytes, list[bytes]] = {}
+    for name, value in headers:
+        fields.setdefault(name.lower(), []).append(value)
+    dropped = _CONNECTION_HEADERS | _UPSTREAM_ONLY | _list_connection_options(fields)
+    forwarded = b"".join(
+        name + b": " + value + CRLF
+        for name, value in headers
+        if name.lower() not in dropped
+    )
+    return UpstreamAnswer(
+        status=status,
+        request_id=_get_first(fields, names.REQUEST_ID),
+        signature=_get_first(fields, names.SIGNATURE),
+        is_not_run=names.NOT_RUN in fields or status == STATUS_MISDIRECTED,
+        is_misdirected=status == STATUS_MISDIRECTED,
+        is_encoded=b"content-encoding" in fields,
+        load=_read_load(_get_first(fields, names.LOAD)),
+        idle_timeout_s=_read_idle_timeout(_get_first(fields, b"keep-alive")),
+        forwarded=forwarded,
+        body=body,
+    )
+
+
+def encode_relayed(answer: UpstreamAnswer, *, closes: bool) -> bytes:
+    """Encodes an upstream's answer for the caller, unchanged but for the framing."""
+    return _encode(answer.status, answer.forwarded, answer.body, closes=closes)
+
+
+def encode_gathered(
+    request: CallerRequest,
+    *,
+    signatures: Sequence[bytes],
+    missing: int,
+    body: bytes,
+    closes: bool,
+) -> bytes:
+    """Encodes the merged answer of a scatter-gather request."""
+    headers = b"Request-Id: %b\r\n%b: %b\r\n%b: %d\r\n" % (
+        request.request_id,
+        names.PART_SIGNATURES.title(),
+        b", ".join(signatures),
+        names.MISSING_PARTS.title(),
+        missing,
+    )
+    return _encode(200, headers, body, closes=closes)
+
+
+def encode_refusal(
+    status: int,
+    *,
+    reason: str,
+    request_id: bytes | None = None,
+    retry_after_ms: float | None = None,
+    closes: bool = False,
+) -> bytes:
+    """Encodes an answer of the gateway's own.
+
+    >>> encode_refusal(404, reason="no_route").startswith(b"HTTP/1.1 404 Not Found")
+    True
+    """
+    headers = b"Content-Type: application/json\r\n"
+    if request_id is not None:
+        headers += b"Request-Id: " + request_id + CRLF
+    if retry_after_ms is not None:
+        headers += b"Retry-After: %.3f\r\n" % (retry_after_ms / 1000.0)
+    body = msgspec.json.encode({"error": reason})
+    return _encode(status, headers, body, closes=closes)
+
+
+def _encode(status: int, headers: bytes, body: bytes, *, closes: bool) -> bytes:
+    connection = b"Connection: close\r\n" if closes else b""
+    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        status,
+        REASONS.get(status, b"Status"),
+        headers,
+        len(body),
+        connection,
+        body,
+    )
+
+
+def _list_connection_options(fields: dict[bytes, list[bytes]]) -> set[bytes]:
+    values = b",".join(fields.get(b"connection", ()))
+    return {option.strip().lower() for option in values.split(b",")} - {b""}
+
+
+def _get_first(fields: dict[bytes, list[bytes]], name: bytes) -> bytes | None:
+    values = fields.get(name)
+    return values[0] if values else None
+
+
+def _get_single(fields: dict[bytes, list[bytes]], name: bytes) -> bytes | None:
+    values = fields.get(name)
+    if not values:
+        return None
+    if len(values) > 1:
+        raise InvalidValueError(
+            where=f"header {name.decode()}",
+            value=f"{len(values)} values",
+            expected="at most one",
+        )
+    return values[0]
+
+
+def _read_number(value: bytes | None) -> float | None:
+    try:
+        return None if value is None else max(0.0, float(value))
+    except ValueError as error:
+        raise InvalidValueError(
+            where=f"header {names.TIME_LEFT.decode()}",
+            value=value,
+            expected="a number of milliseconds",
+        ) from error
+
+
+def _read_load(value: bytes | None) -> ReportedLoad | None:
+    parts = (value or b"").split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running=running, waiting=waiting, slots=max(1, slots))
+
+
+def _read_idle_timeout(value: bytes | None) -> float | None:
+    for option in (value or b"").split(b","):
+        name, _, number = option.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and number.strip().isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/src/skylarkcart/platform/_reading.py
@@ -0,0 +1,59 @@
+"""Turns items of the platform's store into changes of the published state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.platform._documents import (
+    decode_closed_zone,
+    decode_configuration,
+    decode_upstream,
+)
+from skylarkcart.platform._names import (
+    CLOSED_ZONE_PREFIX,
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+)
+from skylarkcart.published import StoredItem
+from skylarkcart.registry import Change, ClosedZone
+
+
+def decode_items(
+    items: Iterable[StoredItem], *, on_error: Callable[[InvalidValueError], None]
+) -> list[Change]:
+    """Decodes the items that concern the gateway.
+
+    An unreadable entry of an upstream names nothing to use and becomes a deletion. An
+    unreadable configuration is left out, so that the one in force stays.
+    """
+    changes = []
+    for item in items:
+        try:
+            change = _decode_item(item)
+        except InvalidValueError as error:
+            on_error(error)
+            if item.key == CONFIGURATION_KEY:
+                continue
+            change = Change(key=item.key, revision=item.revision, value=None)
+        if change is not None:
+            changes.append(change)
+    return changes
+
+
+def _decode_item(item: StoredItem) -> Change | None:
+    if item.key == CONFIGURATION_KEY:
+        if item.value is None:
+            return None
+        value = decode_configuration(item.value)
+    elif item.key.startswith(CLOSED_ZONE_PREFIX):
+        value = None
+        if item.value is not None:
+            value = ClosedZone(zone=decode_closed_zone(item.key))
+    elif item.key.startswith(UPSTREAM_PREFIX):
+        value = None
+        if item.value is not None:
+            value = decode_upstream(item.key, item.value)
+    else:
+        return None
+    return Change(key=item.key, revision=item.revision, value=value)
--- /dev/null
+++ b/src/skylarkcart/platform/_store.py
@@ -0,0 +1,188 @@
+"""Reads the platform's store over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+from typing import Any
+from urllib.parse import urlencode
+
+import httptools
+import msgspec
+
+from skylarkcart.errors import SkylarkcartError
+from skylarkcart.platform._names import RANGE_PATH, WATCH_PATH
+from skylarkcart.published import Address, StoredItem
+
+MAX_PAGES = 200
+
+
+class StoreError(SkylarkcartError):
+    """The store did not answer, refused, or answered something unreadable."""
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the history since the wanted revision."""
+
+
+class StorePage(msgspec.Struct, frozen=True, kw_only=True):
+    """Items and the store's revision at the moment of the answer."""
+
+    items: tuple[StoredItem, ...]
+    revision: int
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    revision: int
+    value: str | None = None
+    tombstone: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True, rename="camel"):
+    items: tuple[_Item, ...]
+    # The store's revision when it answered.
+    as_of: int
+    has_more: bool = False
+
+
+class _Watch(msgspec.Struct, frozen=True, rename="camel"):
+    events: tuple[_Item, ...]
+    as_of: int
+
+
+class StoreClient:
+    """One connection to the store, opened when needed and closed after an error."""
+
+    def __init__(self, *, address: Address) -> None:
+        self._address = address
+        self._protocol: _StoreProtocol | None = None
+        self.calls = 0
+
+    async def read_range(self, prefix: str, *, timeout_ms: float) -> StorePage:
+        """Reads all items below a prefix.
+
+        Pages are read one after the other; the revision is that of the first, so that a
+        watch from there repeats what changed in between.
+        """
+        items: list[StoredItem] = []
+        first_revision: int | None = None
+        query: dict[str, Any] = {"prefix": prefix}
+        for _ in range(MAX_PAGES):
+            page = await self._get(RANGE_PATH, query, timeout_ms, _Range)
+            items.extend(_convert_item(item) for item in page.items)
+            if first_revision is None:
+                first_revision = page.as_of
+            if not page.has_more or not page.items:
+                return StorePage(items=tuple(items), revision=first_revision)
+            query["after"] = page.items[-1].key
+        raise StoreError(f"range {prefix!r} has more than {MAX_PAGES} pages")
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_ms: float, timeout_ms: float
+    ) -> StorePage:
+        """Waits up to ``wait_ms`` for changes after a revision.
+
+        Raises:
+            HistoryLostError: the changes since then are no longer known.
+        """
+        query = {"prefix": prefix, "after": after, "waitMs": int(wait_ms)}
+        page = await self._get(WATCH_PATH, query, timeout_ms + wait_ms, _Watch)
+        items = tuple(_convert_item(item) for item in page.events)
+        return StorePage(items=items, revision=page.as_of)
+
+    def close(self) -> None:
+        if self._protocol is not None:
+            self._protocol.abort()
+            self._protocol = None
+
+    async def _get(
+        self, path: str, query: dict[str, Any], timeout_ms: float, answer_type: type
+    ) -> Any:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                status, body = await self._exchange(f"{path}?{urlencode(query)}")
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise StoreError(f"{path} failed: {error!r}") from error
+        if status == 410:
+            raise HistoryLostError(f"{path}: no history after {query.get('after')}")
+        if status != 200:
+            raise StoreError(f"{path} answered {status}, expected 200")
+        try:
+            return msgspec.json.decode(body, type=answer_type)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self.close()
+            raise StoreError(f"{path} is malformed: {error}") from error
+
+    async def _exchange(self, target: str) -> tuple[int, bytes]:
+        if self._protocol is None or self._protocol.is_closed:
+            loop = asyncio.get_running_loop()
+            _, self._protocol = await loop.create_connection(
+                _StoreProtocol, self._address.host, self._address.port
+            )
+        return await self._protocol.get(target, host=str(self._address))
+
+
+class _StoreProtocol(asyncio.Protocol):
+    """A client connection with one call at a time."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._answer: asyncio.Future[tuple[int, bytes]] | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+        self.is_closed = False
+
+    async def get(self, target: str, *, host: str) -> tuple[int, bytes]:
+        self._answer = asyncio.get_running_loop().create_future()
+        self._body.clear()
+        head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+        self._transport.write(head.encode())
+        return await self._answer
+
+    def abort(self) -> None:
+        self.is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.is_closed = True
+        if self._answer is not None and not self._answer.done():
+            lost = error or ConnectionResetError("the store closed the connection")
+            self._answer.set_exception(lost)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self.abort()
+            self.connection_lost(ConnectionError(f"unreadable answer: {error}"))
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        if self._answer is None or self._answer.done():
+            self.abort()
+            return
+        if not self._parser.should_keep_alive():
+            self.is_closed = True
+            self._transport.close()
+        self._answer.set_result((self._parser.get_status_code(), bytes(self._body)))
+
+
+def _convert_item(item: _Item) -> StoredItem:
+    value = None
+    if not item.tombstone and item.value is not None:
+        try:
+            value = base64.b64decode(item.value, validate=True)
+        except (binascii.Error, ValueError):
+            # An unreadable value is decoded like any other unreadable document.
+            value = item.value.encode()
+    return StoredItem(key=item.key, revision=item.revision, value=value)
--- /dev/null
+++ b/src/skylarkcart/quotas/__init__.py
@@ -0,0 +1,7 @@
+"""Keeps each client account's rate and burst over all instances."""
+
+from __future__ import annotations
+
+from skylarkcart.quotas._shared import AccountQuota, Quotas
+
+__all__ = ["AccountQuota", "Quotas"]
--- /dev/null
+++ b/src/skylarkcart/quotas/_shared.py
@@ -0,0 +1,143 @@
+"""Replicated token buckets that follow the spending reported by other instances."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from skylarkcart.clock import Millis
+from skylarkcart.published import Account
+from skylarkcart.types import AccountId, InstanceId
+
+MILLISECONDS_PER_SECOND = 1000.0
+
+# A process that starts does not know what was spent before, so that it begins with
+# this part of the burst.
+INITIAL_PART = 0.25
+
+# Spending that was reported late may take the bucket below zero by this many seconds
+# of the rate. A deeper debt would refuse an account long after its excess.
+MAX_DEBT_S = 1.5
+
+
+class AccountQuota(msgspec.Struct, kw_only=True):
+    """One account's bucket as this instance believes it to be.
+
+    ``level`` is in requests. ``spent`` counts the requests admitted here since the
+    start of the process; other instances learn it and deduct the difference.
+    """
+
+    account: AccountId
+    rate_per_s: float
+    burst: float
+    level: float
+    refilled_at: Millis
+    spent: int = 0
+
+    def refill(self, now: Millis, *, reachable_part: float) -> None:
+        elapsed_s = max(0.0, now - self.refilled_at) / MILLISECONDS_PER_SECOND
+        gained = elapsed_s * self.rate_per_s * reachable_part
+        self.level = min(self.burst, self.level + gained)
+        self.refilled_at = now
+
+    def deduct(self, requests: float) -> None:
+        floor = -MAX_DEBT_S * self.rate_per_s
+        self.level = max(min(floor, self.level), self.level - requests)
+
+
+class Quotas:
+    """The buckets of all accounts.
+
+    ``reachable_part`` is the part of the fleet whose spending is being heard. The rest
+    may be cut off and go on spending, so only this part of each rate is used here.
+    """
+
+    def __init__(self) -> None:
+        self._quotas: dict[AccountId, AccountQuota] = {}
+        self._heard: dict[tuple[InstanceId, int], dict[AccountId, int]] = {}
+        self.reachable_part = 1.0
+
+    def configure(self, accounts: Mapping[AccountId, Account], now: Millis) -> None:
+        """Adopts the limits of a configuration version."""
+        for account in accounts.values():
+            quota = self._quotas.get(account.account)
+            burst = max(1.0, account.burst)
+            if quota is None:
+                self._quotas[account.account] = AccountQuota(
+                    account=account.account,
+                    rate_per_s=account.rate_per_s,
+                    burst=burst,
+                    level=max(1.0, INITIAL_PART * burst),
+                    refilled_at=now,
+                )
+                continue
+            quota.refill(now, reachable_part=self.reachable_part)
+            quota.rate_per_s = account.rate_per_s
+            quota.burst = burst
+            quota.level = min(quota.level, burst)
+        for gone in set(self._quotas) - set(accounts):
+            del self._quotas[gone]
+
+    def try_spend(self, account: AccountId, now: Millis) -> bool:
+        """Takes a request's token, or returns False if the account is over its rate."""
+        quota = self._quotas[account]
+        if quota.rate_per_s <= 0:
+            return True
+        quota.refill(now, reachable_part=self.reachable_part)
+        if quota.level < 1:
+            return False
+        quota.level -= 1
+        quota.spent += 1
+        return True
+
+    def get_level(self, account: AccountId) -> float:
+        return self._quotas[account].level
+
+    def give_back(self, account: AccountId) -> None:
+        """Returns the token of a request that no upstream got."""
+        quota = self._quotas.get(account)
+        if quota is not None and quota.rate_per_s > 0:
+            quota.level = min(quota.burst, quota.level + 1)
+
+    def estimate_wait_ms(self, account: AccountId) -> float:
+        """Returns when the next token is due, if nobody else takes it."""
+        quota = self._quotas[account]
+        missing = max(0.0, 1 - quota.level)
+        return missing / quota.rate_per_s * MILLISECONDS_PER_SECOND
+
+    def build_report(self) -> dict[AccountId, int]:
+        """Returns what this process admitted so far, by account."""
+        return {
+            quota.account: quota.spent for quota in self._quotas.values() if quota.spent
+        }
+
+    def hear(
+        self,
+        instance: InstanceId,
+        incarnation: int,
+        spent: Mapping[AccountId, int],
+        now: Millis,
+    ) -> None:
+        """Deducts what another instance spent since its last report.
+
+        The first report of a process is a starting point: what it spent before was
+        limited by its own bucket.
+        """
+        process = (instance, incarnation)
+        known = self._heard.get(process)
+        if known is None:
+            self._heard[process] = dict(spent)
+            return
+        for account, total in spent.items():
+            difference = total - known.get(account, 0)
+            if difference <= 0:
+                continue
+            known[account] = total
+            quota = self._quotas.get(account)
+            if quota is not None:
+                quota.refill(now, reachable_part=self.reachable_part)
+                quota.deduct(difference)
+
+    def forget(self, instance: InstanceId, incarnation: int) -> None:
+        self._heard.pop((instance, incarnation), None)
--- /dev/null
+++ b/src/skylarkcart/replicas/__init__.py
@@ -0,0 +1,9 @@
+"""Chooses the upstream of a service that will probably answer first."""
+
+from __future__ import annotations
+
+from skylarkcart.replicas._latency import RouteLatency
+from skylarkcart.replicas._replica import CallEnd, Replica
+from skylarkcart.replicas._replicas import Replicas
+
+__all__ = ["CallEnd", "Replica", "Replicas", "RouteLatency"]
--- /dev/null
+++ b/src/skylarkcart/replicas/_replica.py
@@ -0,0 +1,153 @@
+"""What an instance knows of one upstream."""
+
+from __future__ import annotations
+
+import enum
+
+from skylarkcart.clock import Millis
+from skylarkcart.exchange import ReportedLoad
+from skylarkcart.published import UpstreamEntry
+
+# The weight of one call in the moving averages.
+SAMPLE_WEIGHT = 0.2
+
+# A single paused call must not make an upstream look slow for long.
+MAX_SLOWNESS_SAMPLE = 6.0
+
+# Without calls, what was learned loses half of its weight in this time, so that an
+# upstream that recovered is tried again.
+SLOWNESS_HALF_LIFE_MS = 1_500.0
+FAILURE_HALF_LIFE_MS = 2_500.0
+
+# A report of load is of no use after this time.
+REPORT_LIFETIME_MS = 300.0
+
+# After failures in a row, calls avoid an upstream for this time, doubled with each
+# further one.
+FIRST_AVOIDANCE_MS = 200.0
+MAX_AVOIDANCE_MS = 3_000.0
+
+# A call that waits this many times as long as usual makes its upstream look paused.
+SILENCE_FACTOR = 2.5
+
+
+class CallEnd(enum.Enum):
+    """How a call to an upstream ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    SHED = "shed"
+    MISDIRECTED = "misdirected"
+    REFUSED_CONNECTION = "refused_connection"
+    LOST = "lost"
+    TIMED_OUT = "timed_out"
+    ABANDONED = "abandoned"
+
+
+class Replica:
+    """Load, speed and failures of one upstream as seen from here.
+
+    ``slowness`` is the latency of its calls relative to the usual one of their route.
+    """
+
+    def __init__(self, *, entry: UpstreamEntry, seen_at: Millis) -> None:
+        self.entry = entry
+        self.seen_at = seen_at
+        self.in_flight: dict[int, tuple[Millis, float]] = {}
+        self.heard_at = Millis(float("-inf"))
+        self._slowness = 1.0
+        self._slowness_at = seen_at
+        self._failing = 0.0
+        self._failing_at = seen_at
+        self._failures_in_row = 0
+        self._avoided_until = Millis(float("-inf"))
+        self._load: ReportedLoad | None = None
+        self._load_at = seen_at
+        self._own_in_report = 0
+
+    def begin_call(self, call: int, *, now: Millis, usual_ms: float) -> None:
+        self.in_flight[call] = (now, max(1.0, usual_ms))
+
+    def end_call(
+        self, call: int, end: CallEnd, *, now: Millis, load: ReportedLoad | None = None
+    ) -> None:
+        """Records how a call ended; an unknown call is ignored."""
+        begun = self.in_flight.pop(call, None)
+        if begun is None:
+            return
+        started_at, usual_ms = begun
+        if load is not None:
+            self._load = load
+            self._load_at = now
+            self._own_in_report = len(self.in_flight)
+        if end is CallEnd.ANSWERED:
+            self._learn((now - started_at) / usual_ms, now)
+            self._note_success(now)
+        elif end is CallEnd.ABANDONED:
+            elapsed = (now - started_at) / usual_ms
+            if elapsed > self.get_slowness(now):
+                self._learn(elapsed, now)
+        else:
+            self._note_failure(end, now)
+
+    def is_avoided(self, now: Millis) -> bool:
+        """Whether it failed just before and has not had its time to recover."""
+        return now < self._avoided_until
+
+    def is_cold(self, now: Millis) -> bool:
+        return now < self.seen_at + self.entry.cold_left_ms
+
+    def is_silent(self, now: Millis) -> bool:
+        """Whether it owes an answer for much longer than usual.
+
+        It is probably paused, cut off or down, which one call shows to all others.
+        """
+        for started_at, usual_ms in self.in_flight.values():
+            since = max(started_at, self.heard_at)
+            if now - since > SILENCE_FACTOR * usual_ms * self.get_slowness(now):
+                return True
+        return False
+
+    def get_slowness(self, now: Millis) -> float:
+        faded = 0.5 ** ((now - self._slowness_at) / SLOWNESS_HALF_LIFE_MS)
+        return 1.0 + (self._slowness - 1.0) * faded
+
+    def get_failing(self, now: Millis) -> float:
+        """Returns the part of its calls that failed lately."""
+        faded = 0.5 ** ((now - self._failing_at) / FAILURE_HALF_LIFE_MS)
+        return self._failing * faded
+
+    def get_queue(self, now: Millis) -> float:
+        """Returns the calls it holds, own and reported, by its slots."""
+        calls = float(len(self.in_flight))
+        slots = self.entry.slots
+        if self._load is not None and now - self._load_at < REPORT_LIFETIME_MS:
+            reported = self._load.running + self._load.waiting - 1
+            calls += max(0, reported - self._own_in_report)
+            slots = self._load.slots
+        return calls / slots
+
+    def _learn(self, ratio: float, now: Millis) -> None:
+        current = self.get_slowness(now)
+        sample = min(MAX_SLOWNESS_SAMPLE, ratio)
+        self._slowness = current + SAMPLE_WEIGHT * (sample - current)
+        self._slowness_at = now
+
+    def _note_success(self, now: Millis) -> None:
+        self.heard_at = now
+        self._failures_in_row = 0
+        self._avoided_until = now
+        self._failing = self.get_failing(now) * (1 - SAMPLE_WEIGHT)
+        self._failing_at = now
+
+    def _note_failure(self, end: CallEnd, now: Millis) -> None:
+        current = self.get_failing(now)
+        self._failing = current + SAMPLE_WEIGHT * (1 - current)
+        self._failing_at = now
+        if end is CallEnd.FAILED or end is CallEnd.SHED:
+            # It answers, so that its process and the path to it are sound.
+            self.heard_at = now
+            return
+        self._failures_in_row += 1
+        avoidance = FIRST_AVOIDANCE_MS * 2 ** (self._failures_in_row - 1)
+        self._avoided_until = Millis(now + min(MAX_AVOIDANCE_MS, avoidance))
--- /dev/null
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -0,0 +1,112 @@
+"""The upstreams of each service and the choice among them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Mapping
+
+from skylarkcart.clock import Millis
+from skylarkcart.published import UpstreamState
+from skylarkcart.registry import Registered
+from skylarkcart.replicas._replica import Replica
+from skylarkcart.types import ServiceId, UpstreamId, ZoneId
+
+# Expected times are multiplied by these factors. A call to another zone costs a round
+# trip between zones and priced bytes; the others make an upstream a last resort in
+# this order.
+OTHER_ZONE_FACTOR = 1.3
+COLD_FACTOR = 1.6
+NO_CONNECTION_FACTOR = 1.2
+SILENT_FACTOR = 20.0
+AVOIDED_FACTOR = 100.0
+
+# Choices differ by this part at random, so that instances do not all choose alike.
+RANDOM_PART = 0.1
+
+
+class Replicas:
+    """All upstreams that may get work, by service."""
+
+    def __init__(self, *, zone: ZoneId, random: random.Random) -> None:
+        self._zone = zone
+        self._random = random
+        self._by_service: dict[ServiceId, dict[UpstreamId, Replica]] = {}
+        self.replicas: dict[UpstreamId, Replica] = {}
+
+    def update(
+        self,
+        upstreams: Mapping[UpstreamId, Registered],
+        closed_zones: Collection[ZoneId],
+    ) -> tuple[UpstreamId, ...]:
+        """Adopts the published upstreams; returns those that get no more work."""
+        usable = {
+            upstream: known
+            for upstream, known in upstreams.items()
+            if known.entry.state is UpstreamState.READY
+            and known.entry.zone not in closed_zones
+        }
+        dropped = tuple(
+            upstream for upstream in self.replicas if upstream not in usable
+        )
+        for upstream in dropped:
+            del self.replicas[upstream]
+        for upstream, known in usable.items():
+            self._put(upstream, known)
+        self._by_service = {}
+        for upstream, replica in self.replicas.items():
+            service = replica.entry.service
+            self._by_service.setdefault(service, {})[upstream] = replica
+        return dropped
+
+    def has_any(self, service: ServiceId) -> bool:
+        return bool(self._by_service.get(service))
+
+    def list_service(self, service: ServiceId) -> tuple[Replica, ...]:
+        return tuple(self._by_service.get(service, {}).values())
+
+    def choose(
+        self,
+        service: ServiceId,
+        *,
+        now: Millis,
+        tried: Collection[UpstreamId] = (),
+        has_connection: Collection[UpstreamId] = (),
+        full: Collection[UpstreamId] = (),
+    ) -> Replica | None:
+        """Returns the upstream that is expected to answer first, or None.
+
+        ``tried`` upstreams are left out, and so are ``full`` ones, to which no further
+        connection may be opened.
+        """
+        best: Replica | None = None
+        best_cost = float("inf")
+        for upstream, replica in self._by_service.get(service, {}).items():
+            if upstream in tried or upstream in full:
+                continue
+            cost = self._estimate_cost(replica, now)
+            if upstream not in has_connection:
+                cost *= NO_CONNECTION_FACTOR
+            if cost < best_cost:
+                best, best_cost = replica, cost
+        return best
+
+    def _put(self, upstream: UpstreamId, known: Registered) -> None:
+        replica = self.replicas.get(upstream)
+        if replica is None or replica.entry.born_ms != known.entry.born_ms:
+            self.replicas[upstream] = Replica(entry=known.entry, seen_at=known.seen_at)
+            return
+        replica.entry = known.entry
+        replica.seen_at = known.seen_at
+
+    def _estimate_cost(self, replica: Replica, now: Millis) -> float:
+        cost = replica.get_slowness(now) * (1.0 + replica.get_queue(now) ** 2)
+        cost /= max(0.05, 1.0 - replica.get_failing(now)) ** 2
+        if replica.entry.zone != self._zone:
+            cost *= OTHER_ZONE_FACTOR
+        if replica.is_cold(now):
+            cost *= COLD_FACTOR
+        if replica.is_silent(now):
+            cost *= SILENT_FACTOR
+        if replica.is_avoided(now):
+            cost *= AVOIDED_FACTOR
+        return cost * (1.0 + RANDOM_PART * self._random.random())
--- /dev/null
+++ b/src/skylarkcart/routing/__init__.py
@@ -0,0 +1,8 @@
+"""Selects the route, the client account and the service of a request."""
+
+from __future__ import annotations
+
+from skylarkcart.routing._table import RouteTable
+from skylarkcart.routing._weights import WeightedServices
+
+__all__ = ["RouteTable", "WeightedServices"]
--- /dev/null
+++ b/src/skylarkcart/routing/_weights.py
@@ -0,0 +1,38 @@
+"""Divides requests between services in the proportion of their weights."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from skylarkcart.published import ServiceShare
+from skylarkcart.types import ServiceId
+
+
+class WeightedServices:
+    """Smooth weighted round robin: the shares hold over any short run of requests.
+
+    Each choice raises every service's credit by its weight, takes the service with the
+    most credit and lowers that by the sum of the weights. Random choice would need
+    several hundred requests to come as close to the weights.
+
+    >>> shares = [ServiceShare(service="a", weight=2), ServiceShare(service="b", weight=1)]
+    >>> services = WeightedServices(shares=shares)
+    >>> [services.choose() for _ in range(6)]
+    ['a', 'b', 'a', 'a', 'b', 'a']
+    """
+
+    def __init__(self, *, shares: Sequence[ServiceShare], offset: float = 0.0) -> None:
+        positive = [share for share in shares if share.weight > 0] or list(shares)
+        self._weights = {share.service: max(share.weight, 1e-9) for share in positive}
+        self._total = sum(self._weights.values())
+        # Different offsets keep instances that start together from choosing alike.
+        self._credits = {
+            service: weight * offset for service, weight in self._weights.items()
+        }
+
+    def choose(self) -> ServiceId:
+        for service, weight in self._weights.items():
+            self._credits[service] += weight
+        chosen = max(self._credits, key=self._credits.__getitem__)
+        self._credits[chosen] -= self._total
+        return chosen
--- /dev/null
+++ b/src/skylarkcart/scatter/__init__.py
@@ -0,0 +1,15 @@
+"""Scatter-gather requests: calls to shards, second calls, merging and coverage."""
+
+from __future__ import annotations
+
+from skylarkcart.scatter._execution import GatherExecution, GatherVerdict
+from skylarkcart.scatter._merge import RECORD_BYTES, merge_records
+from skylarkcart.scatter._part import Part
+
+__all__ = [
+    "GatherExecution",
+    "GatherVerdict",
+    "Part",
+    "RECORD_BYTES",
+    "merge_records",
+]
