Read the store at two instances and admit new requests before returning ones

Ruled out: hedging (no request took longer than its aim at an instance). Change: two readers for the fleet, changes of 120 ms gathered in one call; lapsed entries travel with their time; state travels as changes since a revision; returning requests leave 30% of a burst to new ones.

--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Sequence
 
 import msgspec
 
@@ -27,8 +28,9 @@
 # An introduced address that never reported is dropped after this time.
 INTRODUCTION_LIFETIME_MS = 5_000.0
 
-# Instances of each zone that read the store while all of them are heard.
-READERS_PER_ZONE = 1
+# Instances that read the store for all that hear them; the second one, in another
+# zone where there is one, bridges the time until the loss of the first is noticed.
+READERS = 2
 
 # A published state older than this makes any instance read the store itself.
 READ_ANYWAY_AFTER_MS = 2_200.0
@@ -46,6 +48,7 @@
     their_sent_at_ms: float
     revision: int
     is_leaving: bool
+    reaches_store: bool
 
 
 class Fleet:
@@ -92,6 +95,7 @@
             their_sent_at_ms=report.sent_at_ms,
             revision=report.revision,
             is_leaving=report.is_leaving,
+            reaches_store=report.reaches_store,
         )
         for host in report.known_hosts:
             self._introduce(host, now)
@@ -134,6 +138,7 @@
         revision: int,
         confirmed_age_ms: float,
         is_leaving: bool,
+        reaches_store: bool,
         spent: dict,
     ) -> Report:
         peer = self._find_by_host(to_host)
@@ -149,6 +154,7 @@
             revision=revision,
             confirmed_age_ms=confirmed_age_ms,
             is_leaving=is_leaving,
+            reaches_store=reaches_store,
             spent=spent,
             known_hosts=known,
         )
@@ -170,21 +176,25 @@
         heard = 1 + len(self._list_heard(now))
         return heard / max(heard, self.count_assumed())
 
-    def is_reader(self, now: Millis, *, state_age_ms: float) -> bool:
-        """Whether this instance reads the store for its zone.
+    def is_reader(
+        self, now: Millis, *, state_age_ms: float, reaches_store: bool
+    ) -> bool:
+        """Whether this instance reads the store for the others.
 
-        The readers are the first by a hash among the instances that are heard. When
-        published state grows old, every instance reads for itself.
+        The readers are the first by a hash among the instances that are heard and reach
+        the store. When published state grows old, every instance reads for itself.
         """
         if state_age_ms > READ_ANYWAY_AFTER_MS:
             return True
-        members = [
-            peer.instance
+        candidates = [(self._instance, self._zone)] if reaches_store else []
+        candidates += [
+            (peer.instance, peer.zone)
             for peer in self._list_heard(now)
-            if peer.zone == self._zone and not peer.is_leaving
+            if peer.reaches_store and not peer.is_leaving
         ]
-        ranked = sorted([*members, self._instance], key=_hash_instance)
-        return self._instance in ranked[:READERS_PER_ZONE]
+        if not candidates:
+            return True
+        return self._instance in _choose_readers(candidates)
 
     def list_ahead(self, revision: int, now: Millis) -> tuple[Peer, ...]:
         """Returns heard peers with newer published state, own zone first."""
@@ -214,5 +224,15 @@
         return None
 
 
+def _choose_readers(
+    candidates: Sequence[tuple[InstanceId, ZoneId]],
+) -> list[InstanceId]:
+    ranked = sorted(candidates, key=lambda candidate: _hash_instance(candidate[0]))
+    first_zone = ranked[0][1]
+    # Sorting is stable, so that other zones come next in the order of the hash.
+    others = sorted(ranked[1:], key=lambda candidate: candidate[1] == first_zone)
+    return [instance for instance, _ in (ranked[0], *others)][:READERS]
+
+
 def _hash_instance(instance: InstanceId) -> int:
     return zlib.crc32(instance.encode())
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -15,7 +15,8 @@
     receiver's last report that the sender got: the report was made after that moment
     of the receiver's clock, which bounds its age without comparing clocks.
     ``confirmed_age_ms`` is the age of the sender's published state at ``revision``,
-    negative if it has none. ``known_hosts`` are addresses of other instances.
+    negative if it has none. ``reaches_store`` is False if the sender's last call to the
+    store failed. ``known_hosts`` are addresses of other instances.
     """
 
     instance: InstanceId
@@ -28,6 +29,7 @@
     revision: int
     confirmed_age_ms: float
     is_leaving: bool
+    reaches_store: bool
     spent: dict[AccountId, int]
     known_hosts: tuple[str, ...] = ()
 
--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -57,7 +57,8 @@
     account = table.find_account(request.key)
     if account is None:
         return Refusal(status=401, reason="unknown_key")
-    if not core.quotas.try_spend(account.account, now):
+    is_returning = core.callers.is_returning(route, request)
+    if not core.quotas.try_spend(account.account, now, is_returning=is_returning):
         wait_ms = core.quotas.estimate_wait_ms(account.account)
         return Refusal(
             status=429,
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -10,10 +10,11 @@
 from skylarkcart.gateway._event_log import EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
+from skylarkcart.gateway._timing import CallerPatience
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import Lifecycle
 from skylarkcart.published import CallerLimits, Route
-from skylarkcart.quotas import Quotas
+from skylarkcart.quotas import INITIAL_PART, Quotas
 from skylarkcart.registry import Registry, RegistryEvent
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
 from skylarkcart.routing import RouteTable
@@ -63,7 +64,10 @@
         self.lifecycle = Lifecycle(linger_ms=LINGER_MS, quiet_ms=QUIET_MS)
         self.registry = Registry(record=self._record_event)
         self.replicas = Replicas(zone=settings.zone, random=random)
-        self.quotas = Quotas()
+        self.quotas = Quotas(
+            initial_part=1.0 if settings.is_first_start else INITIAL_PART
+        )
+        self.callers = CallerPatience()
         self.fleet = Fleet(
             instance=settings.instance,
             zone=settings.zone,
@@ -74,6 +78,9 @@
         )
         self.pool = UpstreamPool(clock=clock, get_limit=self._get_connection_limit)
         self.table: RouteTable | None = None
+        # Nobody knows before the first call; an instance that did not need to call is
+        # taken to reach the store.
+        self.reaches_store = True
         self._extra_calls: dict[ServiceId, ExtraCalls] = {}
         self._latencies: dict[str, RouteLatency] = {}
 
@@ -102,7 +109,7 @@
             self.quotas.configure(self.table.accounts, now)
             self._forget_routes()
         dropped = self.replicas.update(
-            self.registry.upstreams, frozenset(self.registry.closed_zones.values())
+            self.registry.upstreams, frozenset(self.registry.closed_zones)
         )
         for upstream in dropped:
             self.pool.drop(upstream)
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -122,7 +122,7 @@
             now = core.now
             for connection in list(self._connections):
                 connection.check_timeouts(now)
-            if core.registry.expire_held(now):
+            if core.registry.expire_lapsed(now):
                 core.apply_published()
             core.pool.close_idle(now)
             age_ms = core.registry.get_age_ms(now)
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -62,6 +62,7 @@
                 revision=core.registry.revision,
                 confirmed_age_ms=-1.0 if age_ms == float("inf") else age_ms,
                 is_leaving=core.lifecycle.is_draining,
+                reaches_store=core.reaches_store,
                 spent=spent,
             )
             self._transport.sendto(
@@ -107,7 +108,6 @@
     def __init__(self, *, core: Core, link: PeerLink) -> None:
         self._core = core
         self._link = link
-        self._encoded: tuple[int, bytes] = (0, b"")
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -116,8 +116,12 @@
         try:
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                 revision = int.from_bytes(await reader.readexactly(8))
-                if revision < self._core.registry.revision:
-                    writer.write(self._encode())
+                registry = self._core.registry
+                if revision < registry.revision:
+                    published = registry.build_published(
+                        since=revision, now=self._core.now
+                    )
+                    writer.write(msgspec.msgpack.encode(published))
                     await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self._core.log.write("state_not_sent", detail=repr(error), limit=5)
@@ -162,10 +166,3 @@
         if not data:
             return None
         return msgspec.msgpack.decode(data, type=Published)
-
-    def _encode(self) -> bytes:
-        registry = self._core.registry
-        if self._encoded[0] != registry.revision:
-            published = registry.build_published()
-            self._encoded = (registry.revision, msgspec.msgpack.encode(published))
-        return self._encoded[1]
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -102,7 +102,7 @@
 
 
 class UpstreamPool:
-    """Keeps connections open between calls, within this instance's part of the limit."""
+    """Keeps connections open within this instance's part of the limit."""
 
     def __init__(self, *, clock: Clock, get_limit: Callable[[Replica], int]) -> None:
         self._clock = clock
@@ -122,7 +122,7 @@
         usual_ms: float,
         on_end: CallHandler,
     ) -> Call:
-        """Sends a request as soon as a connection is free; ``on_end`` is called once."""
+        """Sends a request once a connection is free; ``on_end`` is called once."""
         now = self._clock.now()
         call = Call(
             number=next(self._numbers),
--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -22,6 +22,13 @@
 FIRST_PAUSE_MS = 100.0
 MAX_PAUSE_MS = 800.0
 
+# Changes that follow each other within this time come with one call.
+GATHER_CHANGES_MS = 120.0
+
+# An instance whose call failed takes no part in reading while others do; it tries
+# again after this time.
+RETRY_READING_MS = 2_000.0
+
 # How often an instance that does not read asks whether it should.
 IDLE_PAUSE_MS = 200.0
 
@@ -34,6 +41,7 @@
         self._store = StoreClient(address=core.settings.platform_address)
         self._needs_snapshot = True
         self._failures = 0
+        self._failed_at = core.now
         self._is_reachable: bool | None = None
 
     async def run(self) -> None:
@@ -48,7 +56,8 @@
         core = self._core
         now = core.now
         age_ms = core.registry.get_age_ms(now)
-        if not core.fleet.is_reader(now, state_age_ms=age_ms):
+        if not self._is_reader(now, age_ms):
+            self._note_idle(now)
             await asyncio.sleep(IDLE_PAUSE_MS / 1000.0)
             return
         try:
@@ -62,6 +71,12 @@
         else:
             self._handle_success()
 
+    def _is_reader(self, now: Millis, age_ms: float) -> bool:
+        core = self._core
+        return core.fleet.is_reader(
+            now, state_age_ms=age_ms, reaches_store=core.reaches_store
+        )
+
     async def _read(self) -> None:
         core = self._core
         started_at = core.now
@@ -90,6 +105,7 @@
         core.registry.confirm(confirmed_at)
         if changes:
             core.apply_published()
+            await asyncio.sleep(GATHER_CHANGES_MS / 1000.0)
 
     async def _handle_failure(self, error: StoreError) -> None:
         core = self._core
@@ -98,13 +114,22 @@
         if self._is_reachable is not False:
             self._is_reachable = False
             core.log_warning("store_lost", detail=str(error))
+        core.reaches_store = False
+        self._failed_at = core.now
         self._failures += 1
         pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (self._failures - 1))
         await asyncio.sleep(pause_ms * core.random.uniform(0.5, 1.0) / 1000.0)
 
+    def _note_idle(self, now: Millis) -> None:
+        """Lets an instance that failed become a reader again after some time."""
+        core = self._core
+        if not core.reaches_store and now - self._failed_at > RETRY_READING_MS:
+            core.reaches_store = True
+
     def _handle_success(self) -> None:
         core = self._core
         core.metrics.store_calls.labels("ok").inc()
+        core.reaches_store = True
         self._failures = 0
         if self._is_reachable is not True:
             self._is_reachable = True
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -32,6 +32,7 @@
 
     ``seed_hosts`` are instances that may be stale or down. All instances of a fleet
     use the same ``peer_port``. ``max_sockets`` bounds open sockets.
+    ``is_first_start`` holds if no instance of the fleet ran before.
     """
 
     instance: InstanceId
@@ -46,4 +47,5 @@
     seed_hosts: tuple[str, ...]
     heartbeat_ms: float
     max_sockets: int
+    is_first_start: bool
     bounds: Bounds
--- a/src/skylarkcart/platform/_machine.py
+++ b/src/skylarkcart/platform/_machine.py
@@ -55,6 +55,8 @@
     listen_addrs: _Listen
     platform: _Store
     heartbeat_ms: float = 1_200.0
+    # True only when the whole system starts for the first time.
+    bootstrap: bool = False
     zones: dict[str, str] = {}
     seeds: tuple[str, ...] = ()
     limits: _Limits = _Limits()
@@ -113,6 +115,7 @@
         ),
         heartbeat_ms=document.heartbeat_ms,
         max_sockets=max(64, document.limits.max_fds - 200),
+        is_first_start=document.bootstrap,
         bounds=_convert_bounds(document.bounds),
     )
 
--- a/src/skylarkcart/quotas/__init__.py
+++ b/src/skylarkcart/quotas/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from skylarkcart.quotas._shared import AccountQuota, Quotas
+from skylarkcart.quotas._shared import INITIAL_PART, AccountQuota, Quotas
 
-__all__ = ["AccountQuota", "Quotas"]
+__all__ = ["AccountQuota", "INITIAL_PART", "Quotas"]
--- a/src/skylarkcart/quotas/_shared.py
+++ b/src/skylarkcart/quotas/_shared.py
@@ -12,10 +12,14 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 
-# A process that starts does not know what was spent before, so that it begins with
-# this part of the burst.
+# A process that starts in a running fleet does not know what was spent before, so
+# that it begins with this part of the burst.
 INITIAL_PART = 0.25
 
+# Requests that come back after a refusal leave this part of the burst to new ones: a
+# new one can still be answered in time.
+RESERVED_PART = 0.3
+
 # Spending that was reported late may take the bucket below zero by this many seconds
 # of the rate. A deeper debt would refuse an account long after its excess.
 MAX_DEBT_S = 1.5
@@ -53,7 +57,8 @@
     may be cut off and go on spending, so only this part of each rate is used here.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, initial_part: float = INITIAL_PART) -> None:
+        self._initial_part = initial_part
         self._quotas: dict[AccountId, AccountQuota] = {}
         self._heard: dict[tuple[InstanceId, int], dict[AccountId, int]] = {}
         self.reachable_part = 1.0
@@ -68,7 +73,7 @@
                     account=account.account,
                     rate_per_s=account.rate_per_s,
                     burst=burst,
-                    level=max(1.0, INITIAL_PART * burst),
+                    level=max(1.0, self._initial_part * burst),
                     refilled_at=now,
                 )
                 continue
@@ -79,13 +84,20 @@
         for gone in set(self._quotas) - set(accounts):
             del self._quotas[gone]
 
-    def try_spend(self, account: AccountId, now: Millis) -> bool:
-        """Takes a request's token, or returns False if the account is over its rate."""
+    def try_spend(
+        self, account: AccountId, now: Millis, *, is_returning: bool = False
+    ) -> bool:
+        """Takes a request's token, or returns False if the account is over its rate.
+
+        A request that ``is_returning`` after a refusal is admitted only while the
+        account has tokens to spare.
+        """
         quota = self._quotas[account]
         if quota.rate_per_s <= 0:
             return True
         quota.refill(now, reachable_part=self.reachable_part)
-        if quota.level < 1:
+        needed = 1 + RESERVED_PART * quota.burst if is_returning else 1
+        if quota.level < min(needed, quota.burst):
             return False
         quota.level -= 1
         quota.spent += 1
--- a/src/skylarkcart/registry/__init__.py
+++ b/src/skylarkcart/registry/__init__.py
@@ -5,17 +5,23 @@
 from skylarkcart.registry._registry import (
     Change,
     ClosedZone,
+    LapsedEntry,
     Published,
+    PublishedEntry,
     Registered,
     Registry,
     RegistryEvent,
+    Removal,
 )
 
 __all__ = [
     "Change",
     "ClosedZone",
+    "LapsedEntry",
     "Published",
+    "PublishedEntry",
     "Registered",
     "Registry",
     "RegistryEvent",
+    "Removal",
 ]
--- a/src/skylarkcart/routing/_weights.py
+++ b/src/skylarkcart/routing/_weights.py
@@ -15,8 +15,9 @@
     most credit and lowers that by the sum of the weights. Random choice would need
     several hundred requests to come as close to the weights.
 
-    >>> shares = [ServiceShare(service="a", weight=2), ServiceShare(service="b", weight=1)]
-    >>> services = WeightedServices(shares=shares)
+    >>> first = ServiceShare(service="a", weight=2)
+    >>> second = ServiceShare(service="b", weight=1)
+    >>> services = WeightedServices(shares=[first, second])
     >>> [services.choose() for _ in range(6)]
     ['a', 'b', 'a', 'a', 'b', 'a']
     """
