--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -17,7 +17,7 @@
 # Up to this size every instance reports to every other one. Above it, each asks a few
 # others in turn for a reply, and descriptions travel on through them.
 MAX_DIRECT_FLEET = 16
-ZONE_FANOUT = 2
+ZONE_FANOUT = 3
 
 # Bytes between zones are dear; one instance of another zone is asked in one of so many
 # rounds.
@@ -34,7 +34,7 @@
 # Five lost reports in a row mean that the path or the process is gone. Descriptions
 # that travel through others take longer.
 SILENT_AFTER_MS = 1_100.0
-INDIRECT_SILENT_AFTER_MS = 3_000.0
+INDIRECT_SILENT_AFTER_MS = 4_000.0
 
 # A silent instance may be cut off and still spend budgets until then. A restart under
 # the same name replaces it at once.
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,146 @@
+"""Documents of the platform: what is decoded, and what names nothing to use."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+import pytest
+
+from skylarkcart.errors import InvalidValueError
+from skylarkcart.platform._documents import decode_configuration, decode_upstream
+from skylarkcart.platform._machine import read_machine_settings
+from skylarkcart.platform._reading import decode_items
+from skylarkcart.published import StoredItem, UpstreamState
+from tests.gateway.standins import build_configuration
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.0.0.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "sequence": 4,
+}
+
+SETTINGS = """
+nodeName = "front-1"
+ip = "10.1.0.17"
+zone = "zone-a"
+internalPorts = [7740, 7755]
+seeds = ["10.1.0.17:8360", "10.2.0.28:8360"]
+heartbeatMs = 1200
+somethingNew = 5
+[zones]
+zone-a = "region"
+[listenAddrs]
+front = "10.1.0.17:8363"
+ready = "10.1.0.17:8364"
+control = "10.1.0.17:8360"
+[bounds]
+revokeMs = 4000
+revokeStrict = true
+retryBudgetSlack = 56
+[platform]
+address = "10.200.1.7:8361"
+"""
+
+
+def test_configuration_is_decoded_into_the_products_own_terms() -> None:
+    document = build_configuration(7)
+    document["routes"][1]["split"] = [
+        {"service": "a", "weight": 3},
+        {"service": "b", "weight": 1},
+    ]
+    del document["routes"][1]["service"]
+    configuration = decode_configuration(json.dumps(document).encode())
+    search, split, filing = configuration.routes
+    assert configuration.version == 7
+    assert search.gathering.shards == ("shard-1", "shard-2")
+    assert [share.weight for share in split.shares] == [3, 1]
+    assert split.is_idempotent and not filing.is_idempotent
+    assert configuration.accounts[0].rate_per_s == 1_000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"service": ""},
+        {"service": 5},
+        {"address": "10.0.0.9"},
+        {"slots": "4"},
+        {"born": 1.5},
+        {"zone": None},
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(change: dict) -> None:
+    data = json.dumps(ENTRY | change).encode()
+    with pytest.raises(InvalidValueError):
+        decode_upstream("servers/i-1", data)
+
+
+def test_entry_without_a_field_names_no_upstream() -> None:
+    for field in set(ENTRY) - {"version", "sequence"}:
+        data = json.dumps({k: v for k, v in ENTRY.items() if k != field}).encode()
+        with pytest.raises(InvalidValueError):
+            decode_upstream("servers/i-1", data)
+
+
+def test_entry_is_decoded() -> None:
+    data = json.dumps(ENTRY | {"state": "draining", "born": 17}).encode()
+    entry = decode_upstream("servers/i-1", data)
+    assert (entry.upstream, entry.address.port, entry.born_ms) == ("i-1", 8080, 17)
+    assert entry.state is UpstreamState.DRAINING
+
+
+def test_unreadable_items_remove_entries_but_not_the_configuration() -> None:
+    """One broken write must neither keep an old entry nor drop all routes."""
+    errors: list[InvalidValueError] = []
+    items = [
+        StoredItem(key="op/config", revision=1, value=b"{"),
+        StoredItem(key="servers/i-1", revision=2, value=b"\xff"),
+        StoredItem(key="servers/i-2", revision=3, value=json.dumps(ENTRY).encode()),
+        StoredItem(key="op/evacuate/zone-a", revision=4, value=b"{}"),
+        StoredItem(key="op/evacuate/zone-b", revision=5, value=None),
+        StoredItem(key="elsewhere/x", revision=6, value=b"{}"),
+    ]
+    changes = decode_items(items, on_error=errors.append)
+    assert [change.key for change in changes] == [
+        "servers/i-1",
+        "servers/i-2",
+        "op/evacuate/zone-a",
+        "op/evacuate/zone-b",
+    ]
+    assert changes[0].value is None and changes[3].value is None
+    assert len(errors) == 2
+
+
+def test_machine_settings_are_read_and_new_fields_are_ignored(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    settings = read_machine_settings(path)
+    assert settings.seed_hosts == ("10.1.0.17", "10.2.0.28")
+    assert settings.bounds.withdrawal_ms == 4_000
+    assert not settings.is_first_start
+
+
+def test_all_wrong_addresses_are_named_at_once(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace(":8363", "").replace(":8361", ":x"))
+    with pytest.raises(ExceptionGroup) as caught:
+        read_machine_settings(path)
+    text = " ".join(str(error) for error in caught.value.exceptions)
+    assert "listenAddrs.front" in text and "platform.address" in text
+
+
+@pytest.mark.parametrize("data", ["nodeName = 5", "[", ""])
+def test_unreadable_settings_are_rejected(tmp_path: pathlib.Path, data: str) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(data)
+    with pytest.raises(InvalidValueError, match="valid settings"):
+        read_machine_settings(path)
