Tell other instances of slow calls, and use 95% of the extra calls

Ruled out: the budget of extra calls as a whole (a third of it was used). Change: reports carry slow calls; two that do not overlap within 2 s make an upstream slow, so that a pause that several instances saw counts once.

--- a/src/skylarkcart/budgets/_extra_calls.py
+++ b/src/skylarkcart/budgets/_extra_calls.py
@@ -11,11 +11,11 @@
 
 # The fleet's bound counts at the upstreams, where calls of neighbouring windows may
 # arrive together, so that an instance keeps this part of its own bound.
-USED_PART = 0.85
+USED_PART = 0.95
 
 # Hedges leave this part of the budget to calls that replace a failed one, without
 # which a request gets no answer at all.
-HEDGED_PART = 0.8
+HEDGED_PART = 0.9
 
 
 class ExtraCallKind(enum.Enum):
--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -10,7 +10,7 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.fleet._report import Member, Report
-from skylarkcart.types import AccountId, InstanceId, Spending, ZoneId
+from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
 
 REPORT_INTERVAL_MS = 200.0
 
@@ -71,6 +71,7 @@
     is_leaving: bool
     reaches_store: bool
     spending: Mapping[AccountId, Spending]
+    slow_calls: tuple[SlowCall, ...] = ()
 
 
 class Fleet:
@@ -166,6 +167,7 @@
             is_leaving=own.is_leaving,
             reaches_store=own.reaches_store,
             spending=dict(own.spending),
+            slow_calls=own.slow_calls,
         )
         return Report(
             sender=sender,
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from skylarkcart.errors import InvalidValueError
-from skylarkcart.types import AccountId, InstanceId, Spending, ZoneId
+from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -25,6 +25,7 @@
     is_leaving: bool
     reaches_store: bool
     spending: dict[AccountId, Spending]
+    slow_calls: tuple[SlowCall, ...] = ()
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -88,6 +88,7 @@
             is_leaving=core.lifecycle.is_draining,
             reaches_store=core.reaches_store,
             spending=core.quotas.build_report(now),
+            slow_calls=core.replicas.list_slow_calls(now),
         )
 
     def _hear(self, report: Report) -> None:
@@ -95,6 +96,9 @@
         now = core.now
         for member in core.fleet.hear(report, now):
             core.quotas.hear(member.instance, member.incarnation, member.spending, now)
+            core.replicas.hear_slow_calls(
+                member.slow_calls, age_ms=member.age_ms, now=now
+            )
         revision = report.sender.revision
         if revision > core.registry.revision:
             self.ahead.set()
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -6,6 +6,8 @@
 import enum
 import statistics
 
+import msgspec
+
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
 from skylarkcart.published import UpstreamEntry
@@ -13,9 +15,14 @@
 # The weight of one call in the moving averages.
 SAMPLE_WEIGHT = 0.2
 
-# An upstream is as slow as the median of its last calls, which a single paused call
-# does not move.
+# An upstream is as slow as the median of its last calls within this time. Calls that
+# one pause held up count once, so that a single pause does not move the median.
 SLOWNESS_SAMPLES = 3
+SLOWNESS_WINDOW_MS = 2_000.0
+
+# Calls that take so many times as long as usual are told to other instances.
+SLOW_RATIO = 3.0
+
 MAX_SLOWNESS_SAMPLE = 10.0
 
 # Without calls, what was learned loses half of its weight in this time, so that an
@@ -51,6 +58,14 @@
     ABANDONED = "abandoned"
 
 
+class SlowSample(msgspec.Struct, frozen=True, kw_only=True):
+    """A call that took much longer than usual, by this instance's clock."""
+
+    started_at: Millis
+    ended_at: Millis
+    ratio: float
+
+
 class Replica:
     """Load, speed and failures of one upstream as seen from here.
 
@@ -62,9 +77,10 @@
         self.seen_at = seen_at
         self.in_flight: dict[int, tuple[Millis, float]] = {}
         self.heard_at = Millis(float("-inf"))
-        self._ratios: collections.deque[float] = collections.deque(
-            (1.0,) * SLOWNESS_SAMPLES, maxlen=SLOWNESS_SAMPLES
+        self._ratios: collections.deque[tuple[Millis, float]] = collections.deque(
+            maxlen=SLOWNESS_SAMPLES
         )
+        self.last_slow_call: SlowSample | None = None
         self._slowness = 1.0
         self._slowness_at = seen_at
         self._slow_call_ended_at = Millis(float("-inf"))
@@ -141,16 +157,31 @@
             slots = self._load.slots
         return calls / slots
 
+    def hear_slow_call(self, sample: SlowSample) -> None:
+        """Learns from a call of another instance."""
+        self._learn_ratio(sample.started_at, sample.ended_at, sample.ratio)
+
     def _learn(self, started_at: Millis, usual_ms: float, now: Millis) -> None:
-        ratio = min(MAX_SLOWNESS_SAMPLE, (now - started_at) / usual_ms)
-        if ratio > 2 * self.get_slowness(now):
+        ratio = (now - started_at) / usual_ms
+        if ratio >= SLOW_RATIO:
+            self.last_slow_call = SlowSample(
+                started_at=started_at, ended_at=now, ratio=ratio
+            )
+        self._learn_ratio(started_at, now, ratio)
+
+    def _learn_ratio(self, started_at: Millis, ended_at: Millis, ratio: float) -> None:
+        ratio = min(MAX_SLOWNESS_SAMPLE, ratio)
+        current = self.get_slowness(ended_at)
+        if ratio >= SLOW_RATIO:
             if started_at <= self._slow_call_ended_at:
                 # The same pause held up several calls; they are one sample.
                 return
-            self._slow_call_ended_at = now
-        self._ratios.append(ratio)
-        self._slowness = max(1.0, statistics.median(self._ratios))
-        self._slowness_at = now
+            self._slow_call_ended_at = ended_at
+        self._ratios.append((ended_at, ratio))
+        recent = [r for at, r in self._ratios if ended_at - at <= SLOWNESS_WINDOW_MS]
+        padding = [min(current, ratio)] * (SLOWNESS_SAMPLES - len(recent))
+        self._slowness = max(1.0, statistics.median(recent + padding))
+        self._slowness_at = ended_at
 
     def _note_success(self, now: Millis) -> None:
         self.heard_at = now
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -4,12 +4,12 @@
 
 import enum
 import random
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from skylarkcart.clock import Millis
 from skylarkcart.published import Registered, UpstreamState
-from skylarkcart.replicas._replica import Replica
-from skylarkcart.types import ServiceId, UpstreamId, ZoneId
+from skylarkcart.replicas._replica import Replica, SlowSample
+from skylarkcart.types import ServiceId, SlowCall, UpstreamId, ZoneId
 
 # Expected times are multiplied by these factors. A call to another zone costs a round
 # trip between zones and priced bytes; the others make an upstream a last resort in
@@ -24,6 +24,10 @@
 # Choices differ by this part at random, so that instances do not all choose alike.
 RANDOM_PART = 0.1
 
+# Slow calls are told to other instances for this time, the newest first.
+TOLD_FOR_MS = 1_000.0
+MAX_TOLD = 10
+
 # The lowest part of successful calls that is told apart.
 MIN_SUCCESS = 0.05
 
@@ -108,6 +112,42 @@
                 best, best_cost = replica, cost
         return best
 
+    def list_slow_calls(self, now: Millis) -> tuple[SlowCall, ...]:
+        """Returns the newest slow calls, for other instances."""
+        slow = [
+            (replica.last_slow_call, upstream)
+            for upstream, replica in self.replicas.items()
+            if replica.last_slow_call is not None
+            and now - replica.last_slow_call.ended_at <= TOLD_FOR_MS
+        ]
+        slow.sort(key=lambda item: item[0].ended_at, reverse=True)
+        return tuple(
+            SlowCall(
+                upstream=upstream,
+                ended_ago_ms=round(now - sample.ended_at),
+                duration_ms=round(sample.ended_at - sample.started_at),
+                ratio=round(sample.ratio, 1),
+            )
+            for sample, upstream in slow[:MAX_TOLD]
+        )
+
+    def hear_slow_calls(
+        self, calls: Iterable[SlowCall], *, age_ms: float, now: Millis
+    ) -> None:
+        """Learns from the slow calls of another instance."""
+        for call in calls:
+            replica = self.replicas.get(call.upstream)
+            if replica is None:
+                continue
+            ended_at = now - age_ms - call.ended_ago_ms
+            replica.hear_slow_call(
+                SlowSample(
+                    started_at=Millis(ended_at - call.duration_ms),
+                    ended_at=Millis(ended_at),
+                    ratio=call.ratio,
+                )
+            )
+
     def _put(self, upstream: UpstreamId, known: Registered) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
--- a/src/skylarkcart/types.py
+++ b/src/skylarkcart/types.py
@@ -70,3 +70,16 @@
 
     total: int
     earlier: int
+
+
+class SlowCall(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A call that took much longer than usual, as one instance tells others.
+
+    ``ended_ago_ms`` counts from the report, ``ratio`` is the duration relative to the
+    route's usual one.
+    """
+
+    upstream: UpstreamId
+    ended_ago_ms: float
+    duration_ms: float
+    ratio: float
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -91,6 +91,28 @@
     assert "i-1" in count_choices(replicas, 40_000)
 
 
+def test_slow_calls_of_others_show_a_slow_upstream() -> None:
+    """With one request a second, an instance alone learns too slowly."""
+    teller = build_replicas(build_entry(1), build_entry(2))
+    hearer = build_replicas(build_entry(1), build_entry(2))
+    for start in (0, 300):
+        call(teller.replicas[UpstreamId("i-1")], start, start + 80)
+        told = teller.list_slow_calls(Millis(start + 100))
+        for _ in range(3):
+            hearer.hear_slow_calls(told, age_ms=50, now=Millis(start + 150))
+    assert count_choices(hearer, 500) == {"i-2": 100}
+
+
+def test_pause_that_several_instances_tell_of_counts_once() -> None:
+    hearer = build_replicas(build_entry(1), build_entry(2))
+    for start in (0, 30, 60):
+        teller = build_replicas(build_entry(1), build_entry(2))
+        call(teller.replicas[UpstreamId("i-1")], start, 150)
+        told = teller.list_slow_calls(Millis(160))
+        hearer.hear_slow_calls(told, age_ms=0, now=Millis(160))
+    assert hearer.replicas[UpstreamId("i-1")].get_slowness(Millis(160)) == 1.0
+
+
 def test_upstream_that_fails_part_of_its_requests_gets_less() -> None:
     """Its health answers are good, so that only its failures show it."""
     replicas = build_replicas(build_entry(1), build_entry(2))
