--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -7,6 +7,7 @@
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import CallerRequest
 from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._timing import RequestTimes
 from skylarkcart.published import Route
 from skylarkcart.types import AccountId
 
@@ -28,13 +29,16 @@
 
 
 class Admitted(msgspec.Struct, frozen=True, kw_only=True):
-    """A request's route and the account that it runs for."""
+    """A request's route, the account that it runs for, and when it is due."""
 
     route: Route
     account: AccountId | None
+    times: RequestTimes
 
 
-def admit(core: Core, request: CallerRequest, now: Millis) -> Admitted | Refusal:
+def admit(
+    core: Core, request: CallerRequest, *, arrived_at: Millis, now: Millis
+) -> Admitted | Refusal:
     """Finds the route and the account, and takes the account's token."""
     table = core.table
     if table is None:
@@ -46,8 +50,9 @@
     route = table.find_route(request.host, request.path)
     if route is None:
         return Refusal(status=404, reason="no_route")
+    times = core.callers.plan(request, route, arrived_at=arrived_at)
     if not table.needs_key(route):
-        return Admitted(route=route, account=None)
+        return Admitted(route=route, account=None, times=times)
     if not core.trusts_keys(now):
         return Refusal(
             status=503,
@@ -57,12 +62,11 @@
     account = table.find_account(request.key)
     if account is None:
         return Refusal(status=401, reason="unknown_key")
-    is_returning = core.callers.is_returning(route, request)
-    if not core.quotas.try_spend(account.account, now, is_returning=is_returning):
+    if not core.quotas.try_spend(account.account, now, is_returning=times.is_returning):
         wait_ms = core.quotas.estimate_wait_ms(account.account)
         return Refusal(
             status=429,
             reason="rate_exceeded",
             retry_after_ms=min(MAX_RETRY_AFTER_MS, wait_ms),
         )
-    return Admitted(route=route, account=account.account)
+    return Admitted(route=route, account=account.account, times=times)
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -10,7 +10,7 @@
 from skylarkcart.gateway._event_log import EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
-from skylarkcart.gateway._timing import CallerPatience
+from skylarkcart.gateway._timing import CallerTimes
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import Lifecycle
 from skylarkcart.published import CallerLimits, Route
@@ -67,7 +67,7 @@
         self.quotas = Quotas(
             initial_part=1.0 if settings.is_first_start else INITIAL_PART
         )
-        self.callers = CallerPatience()
+        self.callers = CallerTimes()
         self.fleet = Fleet(
             instance=settings.instance,
             zone=settings.zone,
--- a/src/skylarkcart/gateway/_ending.py
+++ b/src/skylarkcart/gateway/_ending.py
@@ -116,6 +116,7 @@
             request=self.request.request_id.decode("latin-1"),
             route=self.route_name,
             elapsed_ms=round(elapsed_ms, 1),
+            time_left_ms=self.request.time_left_ms,
             state_revision=core.registry.revision,
             state_age_ms=round(min(1e9, core.registry.get_age_ms(core.now))),
             **facts,
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -10,7 +10,6 @@
 from skylarkcart.gateway._ending import Ending
 from skylarkcart.gateway._gather import GatherExchange
 from skylarkcart.gateway._relay import RelayExchange
-from skylarkcart.gateway._timing import plan_times
 from skylarkcart.published import CallerLimits
 from skylarkcart.verdict import RunVerdict
 
@@ -42,7 +41,7 @@
         ending = Ending(
             core=core, connection=connection, request=request, arrived_at=arrived_at
         )
-        admission = admit(core, request, core.now)
+        admission = admit(core, request, arrived_at=arrived_at, now=core.now)
         if isinstance(admission, Refusal):
             ending.refuse(
                 admission.status,
@@ -53,7 +52,6 @@
             return None
         route = admission.route
         ending.route_name = route.name
-        times = plan_times(request, route, arrived_at=arrived_at)
         exchange: GatherExchange | RelayExchange
         if route.gathering is not None:
             ending.kind = "gather"
@@ -62,7 +60,7 @@
                 ending=ending,
                 route=route,
                 account=admission.account,
-                times=times,
+                times=admission.times,
             )
         else:
             ending.kind = "relay"
@@ -72,7 +70,7 @@
                 route=route,
                 service=core.table.choose_service(route),
                 account=admission.account,
-                times=times,
+                times=admission.times,
             )
         exchange.start()
         return exchange
--- /dev/null
+++ b/tests/gateway/test_timing.py
@@ -0,0 +1,82 @@
+"""What is learned from the time that callers have left."""
+
+from __future__ import annotations
+
+from skylarkcart.clock import Millis
+from skylarkcart.exchange import CallerRequest
+from skylarkcart.gateway._timing import CallerTimes, RequestTimes
+from skylarkcart.published import Route
+
+TARGET_MS = 100.0
+
+
+def build_route() -> Route:
+    return Route(
+        name="search",
+        host="h",
+        prefix="/",
+        is_idempotent=True,
+        timeout_ms=1_000.0,
+        target_latency_ms=TARGET_MS,
+        max_attempts=2,
+        priority=0,
+        is_public=True,
+    )
+
+
+def plan(times: CallerTimes, time_left_ms: float | None) -> RequestTimes:
+    request = CallerRequest(
+        method=b"GET",
+        target=b"/",
+        path="/",
+        host="h",
+        request_id=b"r",
+        time_left_ms=time_left_ms,
+        key=None,
+        forwarded=b"",
+        body=b"",
+    )
+    return times.plan(request, build_route(), arrived_at=Millis(0))
+
+
+def teach(times: CallerTimes, round_trip_ms: int) -> None:
+    for _ in range(20):
+        plan(times, 1_200)
+        plan(times, 1_200)
+        plan(times, 1_200 - round_trip_ms)
+
+
+def test_round_trip_is_learned_from_new_connections() -> None:
+    """An answer that is sent just in time at the instance is late at the caller."""
+    near, far = CallerTimes(), CallerTimes()
+    teach(near, 2)
+    teach(far, 30)
+    assert plan(near, 1_200).answer_by - plan(far, 1_200).answer_by == 28
+
+
+def test_time_spent_on_a_connection_is_taken_from_the_target() -> None:
+    times = CallerTimes()
+    teach(times, 7)
+    assert plan(times, 1_200).answer_by - plan(times, 1_193).answer_by == 7
+    assert not plan(times, 1_193).is_returning
+
+
+def test_later_attempt_is_recognised() -> None:
+    times = CallerTimes()
+    teach(times, 7)
+    assert plan(times, 1_140).is_returning
+    assert not plan(times, 1_200).is_returning
+
+
+def test_caller_with_more_time_than_usual_is_no_later_attempt() -> None:
+    """A few callers wait longer than most; the others must not look late."""
+    times = CallerTimes()
+    teach(times, 7)
+    plan(times, 3_600)
+    assert not plan(times, 1_200).is_returning
+
+
+def test_request_is_given_up_before_its_caller_gives_up() -> None:
+    times = CallerTimes()
+    assert plan(times, 500).give_up_at < 500
+    assert plan(times, None).give_up_at < 1_000
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -7,10 +7,10 @@
 
 SOURCE = pathlib.Path(__file__).parents[2] / "src" / "skylarkcart"
 NAMES = re.compile(
-    rb"X-Api-Key|Server-Stamp|Part-Stamps|Missing-Parts|Not-Executed"
-    rb"|Target-Instance"
-    rb"|Server-Load|(?<!X-)Deadline-Ms|kv-(key|range|watch)|coldLeftMs|heartbeatMs|op/config"
-    rb"|op/evacuate|nodeName|listenAddrs|revokeMs|minCoverage|topK|waitMs|asOf",
+    rb"X-Api-Key|Server-Stamp|Part-Stamps|Missing-Parts|Not-Executed|Server-Load"
+    rb"|Target-Instance|(?<!X-)Deadline-Ms|kv-(key|range|watch)|coldLeftMs|heartbeatMs"
+    rb"|op/config|op/evacuate|nodeName|listenAddrs|revokeMs|minCoverage|topK|waitMs"
+    rb"|asOf",
     re.IGNORECASE,
 )
 
