--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -19,8 +19,9 @@
 MAX_DIRECT_FLEET = 16
 ZONE_FANOUT = 3
 
-# Bytes between zones are dear; one instance of another zone is asked in one of so many
-# rounds.
+# Bytes between zones are dear: instances of other zones get a report in one of so many
+# rounds, and in a large fleet one of them is asked in one of so many.
+DIRECT_OTHER_ZONES_ROUNDS = 2
 OTHER_ZONES_ROUNDS = 5
 
 # Descriptions of others in a report, half of them the newest ones, so that it fits
@@ -31,9 +32,9 @@
 # introduce instances to each other.
 INTRODUCTION_ROUNDS = 5
 
-# Five lost reports in a row mean that the path or the process is gone. Descriptions
+# Several lost reports in a row mean that the path or the process is gone. Descriptions
 # that travel through others take longer.
-SILENT_AFTER_MS = 1_100.0
+SILENT_AFTER_MS = 1_500.0
 INDIRECT_SILENT_AFTER_MS = 4_000.0
 
 # A silent instance may be cut off and still spend budgets until then. A restart under
@@ -140,7 +141,7 @@
         """Starts a round of reports and returns the hosts that get one."""
         self._round += 1
         if self._is_direct():
-            hosts = dict.fromkeys(self._peers_by_host)
+            hosts = dict.fromkeys(self._list_direct_hosts())
         else:
             hosts = dict.fromkeys(self._draw_hosts())
         if now >= self._seeds_due_at:
@@ -249,6 +250,15 @@
             for peer in (*newest, *drawn)
         )
 
+    def _list_direct_hosts(self) -> list[str]:
+        turn = self._round + self._offset
+        includes_others = turn % DIRECT_OTHER_ZONES_ROUNDS == 0
+        return [
+            peer.member.host
+            for peer in self.peers.values()
+            if includes_others or peer.member.zone == self._zone
+        ]
+
     def _draw_hosts(self) -> list[str]:
         own = [
             p.member.host for p in self.peers.values() if p.member.zone == self._zone
