Refuse at once what can't be reached, and turn callers away meanwhile

Ruled out: the store (its state was 0.9 s old), rates (no refusals then). Change: an upstream that failed twice in a row is unreachable while it is avoided; a route with too few reachable shards is refused unrun; an instance that can't serve most routes is not ready and tries one connection a service until it can. Tests: test_cut_off_instance_refuses_at_once_and_turns_callers_away failed first.

--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -20,12 +20,23 @@
 ELSEWHERE_RETRY_AFTER_MS = 100.0
 
 
+class RateFacts(msgspec.Struct, frozen=True, kw_only=True):
+    """What an account's bucket held when it refused a request."""
+
+    account: AccountId
+    tokens: float
+    rate_per_s: float
+    reachable_part: float
+    is_returning: bool
+
+
 class Refusal(msgspec.Struct, frozen=True, kw_only=True):
-    """Why a request was not run."""
+    """Why a request was not run; ``facts`` are the inputs that decided it."""
 
     status: int
     reason: str
     retry_after_ms: float | None = None
+    facts: RateFacts | None = None
 
 
 class Admitted(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,5 +79,12 @@
             status=429,
             reason="rate_exceeded",
             retry_after_ms=min(MAX_RETRY_AFTER_MS, wait_ms),
+            facts=RateFacts(
+                account=account.account,
+                tokens=round(core.quotas.get_level(account.account), 1),
+                rate_per_s=account.rate_per_s,
+                reachable_part=round(core.quotas.reachable_part, 2),
+                is_returning=times.is_returning,
+            ),
         )
     return Admitted(route=route, account=account.account, times=times)
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -77,11 +77,16 @@
             seed_hosts=settings.seed_hosts,
             random=random,
         )
-        self.pool = UpstreamPool(clock=clock, get_limit=self._get_connection_limit)
+        self.pool = UpstreamPool(
+            clock=clock,
+            get_limit=self._get_connection_limit,
+            on_open=self.metrics.connections_opened.inc,
+        )
         self.table: RouteTable | None = None
         # Nobody knows before the first call; an instance that did not need to call is
         # taken to reach the store.
         self.reaches_store = True
+        self._used_services: frozenset[ServiceId] = frozenset()
         self._extra_calls: dict[ServiceId, ExtraCalls] = {}
         self._latencies: dict[str, RouteLatency] = {}
 
@@ -107,6 +112,7 @@
         known = None if self.table is None else self.table.configuration
         if configuration is not None and configuration is not known:
             self.table = RouteTable(configuration=configuration, random=self.random)
+            self._used_services = self.table.list_used_services()
             self.quotas.configure(self.table.accounts, now)
             self._forget_routes()
         dropped = self.replicas.update(
@@ -166,11 +172,39 @@
             service, now=self.now, tried=tried, get_access=self.pool.get_access
         )
 
+    def may_serve(self, route: Route, now: Millis) -> bool:
+        """Whether enough of a route's upstreams may be reached."""
+        if route.gathering is None:
+            return any(
+                self.replicas.is_reachable(share.service, now) for share in route.shares
+            )
+        shards = route.gathering.shards
+        reachable = sum(self.replicas.is_reachable(shard, now) for shard in shards)
+        return reachable >= route.gathering.min_coverage * len(shards)
+
+    def may_serve_most(self, now: Millis) -> bool:
+        """Whether most routes may be served, so that callers should come here.
+
+        Behind a partition they are served better by another zone.
+        """
+        if self.table is None:
+            return False
+        routes = self.table.configuration.routes
+        served = sum(self.may_serve(route, now) for route in routes)
+        return 2 * served >= len(routes)
+
+    def probe_unreachable(self) -> None:
+        """Tries one connection for each service that can't be reached."""
+        now = self.now
+        for service in self._used_services:
+            if not self.replicas.is_reachable(service, now):
+                replicas = self.replicas.list_service(service)
+                if replicas:
+                    self.pool.probe(self.random.choice(replicas))
+
     def open_ahead(self) -> None:
         """Opens a first connection to each upstream that routes lead to."""
-        if self.table is None:
-            return
-        for service in self.table.list_used_services():
+        for service in self._used_services:
             for replica in self.replicas.list_service(service):
                 self.pool.open_ahead(replica)
 
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -72,17 +72,13 @@
         self._has_started = False
 
     def start(self) -> None:
-        reachable = sum(
-            self._core.replicas.has_any(shard) for shard in self._execution.parts
-        )
-        if not self._execution.is_enough(reachable):
+        if not self._core.may_serve(self._route, self._core.now):
             self._ending.refuse(
                 STATUS_UNAVAILABLE,
                 "too_few_shards",
                 verdict=RunVerdict.NOT_RUN,
                 retry_after_ms=UNAVAILABLE_RETRY_AFTER_MS,
                 shards=len(self._execution.parts),
-                reachable=reachable,
             )
             return
         now = self._core.now
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -133,6 +133,7 @@
             if core.registry.expire_lapsed(now):
                 core.apply_published()
             core.pool.close_idle(now)
+            core.probe_unreachable()
             age_ms = core.registry.get_age_ms(now)
             core.metrics.state_age.set(age_ms / 1000.0)
             core.metrics.state_revision.set(core.registry.revision)
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         registry = CollectorRegistry()
-        self._registry = registry
+        self.registry = registry
         self.requests = Counter(
             "skylarkcart_gateway_requests",
             "Answered requests by route and outcome",
@@ -102,4 +102,4 @@
         self._extra_calls[kind, granted].inc()
 
     def render(self) -> bytes:
-        return generate_latest(self._registry)
+        return generate_latest(self.registry)
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -104,13 +104,19 @@
 class UpstreamPool:
     """Keeps connections open within this instance's part of the limit."""
 
-    def __init__(self, *, clock: Clock, get_limit: Callable[[Replica], int]) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        get_limit: Callable[[Replica], int],
+        on_open: Callable[[], None],
+    ) -> None:
         self._clock = clock
+        self._on_open = on_open
         self._get_limit = get_limit
         self._sockets: dict[UpstreamId, _UpstreamSockets] = {}
         self._numbers = itertools.count(1)
         self._connects: set[asyncio.Task[None]] = set()
-        self.opened = 0
 
     def call(
         self,
@@ -183,6 +189,12 @@
         if sockets.total == 0:
             self._open(replica, sockets)
 
+    def probe(self, replica: Replica) -> None:
+        """Tries a connection to an upstream that was unreachable."""
+        sockets = self._sockets.setdefault(replica.entry.upstream, _UpstreamSockets())
+        if sockets.connecting == 0:
+            self._open(replica, sockets)
+
     def drop(self, upstream: UpstreamId) -> None:
         """Closes the idle connections of an upstream that gets no more work."""
         sockets = self._sockets.get(upstream)
@@ -224,7 +236,7 @@
 
     def _open(self, replica: Replica, sockets: _UpstreamSockets) -> None:
         sockets.connecting += 1
-        self.opened += 1
+        self._on_open()
         task = asyncio.get_running_loop().create_task(self._connect(replica, sockets))
         self._connects.add(task)
         task.add_done_callback(self._connects.discard)
@@ -243,10 +255,12 @@
                 )
         except (OSError, TimeoutError):
             sockets.connecting -= 1
+            replica.note_unconnected(self._clock.now())
             self._fail_waiting(replica, sockets)
             return
         sockets.connecting -= 1
         connection.upstream = replica.entry.upstream
+        replica.note_connected(self._clock.now())
         self._put_idle(replica, sockets, connection)
 
     def _fail_waiting(self, replica: Replica, sockets: _UpstreamSockets) -> None:
@@ -314,7 +328,8 @@
             return
         del sockets.busy[connection]
         connection.close()
-        call.replica.end_call(call.number, CallEnd.ABANDONED, now=self._clock.now())
+        # Whatever paused for a moment has answered by now.
+        call.replica.end_call(call.number, CallEnd.SILENT, now=self._clock.now())
         self._open_if_needed(call.replica, sockets)
 
     def _end(self, call: Call, result: CallResult) -> None:
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -66,7 +66,7 @@
     def start(self) -> None:
         core = self._core
         core.get_extra_calls(self._service).note_request(core.now)
-        if not self._call():
+        if not core.replicas.is_reachable(self._service, core.now) or not self._call():
             self._refuse_unrun("no_upstream")
             return
         self._schedule()
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -48,6 +48,7 @@
                 admission.reason,
                 verdict=RunVerdict.NOT_RUN,
                 retry_after_ms=admission.retry_after_ms,
+                facts=admission.facts,
             )
             return None
         route = admission.route
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -41,6 +41,9 @@
 FIRST_AVOIDANCE_MS = 200.0
 MAX_AVOIDANCE_MS = 3_000.0
 
+# Failures in a row after which an upstream counts as unreachable while it is avoided.
+UNREACHABLE_FAILURES = 2
+
 # A call that waits this many times as long as usual makes its upstream look paused.
 SILENCE_FACTOR = 2.5
 
@@ -54,7 +57,7 @@
     MISDIRECTED = "misdirected"
     REFUSED_CONNECTION = "refused_connection"
     LOST = "lost"
-    TIMED_OUT = "timed_out"
+    SILENT = "silent"
     ABANDONED = "abandoned"
 
 
@@ -120,6 +123,15 @@
         """Whether it failed just before and has not had its time to recover."""
         return now < self._avoided_until
 
+    def is_unreachable(self, now: Millis) -> bool:
+        """Whether its connections or calls ended without an answer again and again."""
+        return self._failures_in_row >= UNREACHABLE_FAILURES and self.is_avoided(now)
+
+    def note_connected(self, now: Millis) -> None:
+        """Records that a connection was made after failures."""
+        self._failures_in_row = 0
+        self._avoided_until = now
+
     def is_cold(self, now: Millis) -> bool:
         return now < self.seen_at + self.entry.cold_left_ms
 
@@ -197,7 +209,14 @@
         if end is CallEnd.FAILED or end is CallEnd.SHED:
             # It answers, so that its process and the path to it are sound.
             self.heard_at = now
+            self._failures_in_row = 0
             return
+        if end is not CallEnd.REFUSED_CONNECTION:
+            # Failed connections are counted as they fail.
+            self.note_unconnected(now)
+
+    def note_unconnected(self, now: Millis) -> None:
+        """Records a connection or call that ended without an answer."""
         self._failures_in_row += 1
         avoidance = FIRST_AVOIDANCE_MS * 2 ** (self._failures_in_row - 1)
         self._avoided_until = Millis(now + min(MAX_AVOIDANCE_MS, avoidance))
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -84,6 +84,11 @@
     def has_any(self, service: ServiceId) -> bool:
         return bool(self._by_service.get(service))
 
+    def is_reachable(self, service: ServiceId, now: Millis) -> bool:
+        """Whether a call to one of the service's upstreams may get through."""
+        replicas = self._by_service.get(service, {}).values()
+        return any(not replica.is_unreachable(now) for replica in replicas)
+
     def list_service(self, service: ServiceId) -> tuple[Replica, ...]:
         return tuple(self._by_service.get(service, {}).values())
 
--- a/tests/entry/test_operations_files.py
+++ b/tests/entry/test_operations_files.py
@@ -10,6 +10,7 @@
 import yaml
 
 from skylarkcart.entry._metrics import Metrics
+from skylarkcart.gateway._metrics import GatewayMetrics
 
 ROOT = Path(__file__).parents[2]
 PAGE = "docs/OPERATIONS.md"
@@ -70,9 +71,13 @@
 
 
 def list_exposed():
-    """Returns the labels of every sample that an instance exposes, by sample name."""
+    """Returns the labels of every sample that an instance exposes, by sample name.
+
+    The page describes both programs, the entry instance and the gateway.
+    """
     exposed = {}
-    for metric in vars(Metrics()).values():
+    gateway = GatewayMetrics().registry._collector_to_names
+    for metric in (*vars(Metrics()).values(), *gateway):
         for family in getattr(metric, "describe", list)():
             for suffix in SUFFIXES[family.type]:
                 exposed[family.name + suffix] = set(metric._labelnames)
@@ -129,7 +134,8 @@
 
 
 def test_page_names_every_metric_and_no_other():
-    families = {family.name for family in Metrics().registry.collect()}
+    registries = (Metrics().registry, GatewayMetrics().registry)
+    families = {family.name for registry in registries for family in registry.collect()}
     named = set(re.findall(r"`(skylarkcart_\w+)", (ROOT / PAGE).read_text()))
     assert named <= list_exposed().keys() | families
     assert families <= {name.removesuffix("_total") for name in named}
--- /dev/null
+++ b/tests/explain/test_walks.py
@@ -0,0 +1,140 @@
+"""The three walks of docs/OPERATIONS.md from a request's id to its cause."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import pytest
+
+from skylarkcart.explain import LogLine, find_story, read_lines
+from tests.gateway.standins import API_KEY, build_configuration
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+
+
+class Log:
+    """The standard output of the instance."""
+
+    def __init__(self, deployment, path: pathlib.Path) -> None:
+        self._path = path
+        self._log = deployment.instance._core.log
+        self._log._output = os.open(path, os.O_CREAT | os.O_WRONLY)
+
+    def explain(self, request: str) -> list[LogLine]:
+        self._log.flush()
+        with open(self._path, encoding="utf-8") as file:
+            story = find_story(request, read_lines(file))
+        assert story is not None
+        assert request == story.request and story.render()
+        return [line for line in story.lines if line.request == request]
+
+
+@pytest.fixture
+def log(deployment, tmp_path: pathlib.Path) -> Log:
+    return Log(deployment, tmp_path / "log")
+
+
+def assert_page_names(*names: str) -> None:
+    text = PAGE.read_text()
+    missing = [name for name in names if f"`{name}`" not in text]
+    assert missing == []
+
+
+async def test_refused_within_its_rate(deployment, log) -> None:
+    """From 429 to the bucket, and to the part of the fleet that was not heard."""
+    tenants = [{"name": "museum", "apiKeys": [API_KEY], "ratePerS": 1, "burst": 1}]
+    await deployment.store.put("op/config", build_configuration(2, tenants=tenants))
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core.table.configuration.version == 2)
+    async with deployment.call() as caller:
+        for number in range(4):
+            await caller.send("/read/x", f"r{number}")
+    (line,) = log.explain("r3")
+    assert line.event == "request_refused"
+    assert line.fields["reason"] == "rate_exceeded"
+    facts = line.fields["facts"]
+    assert facts["account"] == "museum" and facts["tokens"] < 1
+    assert facts["rate_per_s"] == 1 and facts["reachable_part"] <= 1
+    assert_page_names("request_refused", "rate_exceeded", "tokens", "reachable_part")
+
+
+async def test_answered_with_parts_missing(deployment, log) -> None:
+    """From the missing part to the upstreams that were asked for it."""
+    for name in ("b1", "b2"):
+        deployment.upstreams[name].delay_s = 1.5
+    async with deployment.call() as caller:
+        status, headers, _ = await caller.send("/search/x", "r1")
+    assert (status, headers["missing-parts"]) == (200, "1")
+    line = log.explain("r1")[-1]
+    assert line.event == "request_partial"
+    (missing,) = line.fields["missing"]
+    assert missing.startswith("shard-2: late at b")
+    assert line.fields["hedges"] >= 0
+    assert_page_names("request_partial", "missing", "hedges")
+
+
+async def test_failed_and_may_have_run(deployment, log) -> None:
+    """From 502 to the upstream whose connection ended."""
+
+    async def lose(*_):
+        return b""
+
+    for name in ("d1", "d2"):
+        deployment.upstreams[name].behaviour = lose
+    async with deployment.call() as caller:
+        caller.write("/file/x", "r1", method="POST")
+        assert (await caller.read())[0] == 502
+    line = log.explain("r1")[-1]
+    assert line.event == "request_failed"
+    assert line.fields["verdict"] == "may_have_run"
+    (end,) = line.fields["ends"]
+    assert end.endswith(": lost")
+    assert_page_names("request_failed", "verdict", "ends", "lost")
+
+
+def test_lines_of_other_programs_are_passed_over() -> None:
+    texts = [
+        "Traceback (most recent call last):",
+        '{"at_ms": 5}',
+        '12.5 node-1 {"at_ms":1,"event":"started","instance":"a"}',
+        '{"at_ms":2,"event":"request_success","instance":"a","request":"r"',
+        '{"at_ms":2,"event":"request_success","instance":"a","request":"r"}',
+    ]
+    story = find_story("r", read_lines(texts))
+    assert [line.event for line in story.lines] == ["started", "request_success"]
+    assert find_story("other", read_lines(texts)) is None
+
+
+def test_lines_are_bounded_and_what_is_left_out_is_counted(tmp_path) -> None:
+    """A flood of refusals must neither fill the disk nor hide that lines are gone."""
+    from skylarkcart.clock import ManualClock
+    from skylarkcart.gateway._event_log import EventLog
+
+    path = tmp_path / "log"
+    clock = ManualClock()
+    output = os.open(path, os.O_CREAT | os.O_WRONLY)
+    log = EventLog(clock=clock, instance="a", output=output)
+    for _ in range(50):
+        log.write("request_refused", limit=20)
+    clock.advance(1_000)
+    log.write("request_success")
+    log.flush()
+    lines = list(read_lines(path.read_text().splitlines()))
+    assert [line.event for line in lines].count("request_refused") == 20
+    assert lines[20].fields["counts"] == {"request_refused": 30}
+
+
+def test_writing_does_not_wait_for_a_reader() -> None:
+    """A full pipe must not stop the event loop."""
+    from skylarkcart.clock import SystemClock
+    from skylarkcart.gateway._event_log import EventLog
+
+    reader, writer = os.pipe()
+    log = EventLog(clock=SystemClock(), instance="a", output=writer)
+    for number in range(5_000):
+        log.write(f"event_{number}", detail="x" * 100)
+        log.flush()
+    assert len(log._lines) <= 2_000
+    os.close(reader)
+    os.close(writer)
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,116 +1,12 @@
-"""A gateway instance before stand-ins, all in one process."""
+"""Fixtures of the gateway's tests."""
 
 from __future__ import annotations
 
-import asyncio
-import socket
 from collections.abc import AsyncIterator
 
 import pytest_asyncio
 
-from skylarkcart.gateway._instance import GatewayInstance
-from skylarkcart.gateway_settings import Bounds, GatewaySettings
-from skylarkcart.published import Address
-from skylarkcart.types import InstanceId, ZoneId
-from tests.gateway.standins import (
-    HOST,
-    Caller,
-    StoreStandin,
-    UpstreamStandin,
-    build_configuration,
-)
-
-READY_TIMEOUT_S = 10.0
-
-
-def find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
-def build_settings(store: StoreStandin, **fields: object) -> GatewaySettings:
-    bounds = Bounds(
-        drain_ms=3_000.0,
-        shutdown_grace_ms=6_000.0,
-        configuration_ms=3_000.0,
-        withdrawal_ms=5_000.0,
-        extra_calls_ratio=0.2,
-        extra_calls_window_ms=10_000.0,
-        extra_calls_slack=50.0,
-        cold_overshoot=1.5,
-        cold_slack=5.0,
-    )
-    values = {
-        "instance": InstanceId("gateway-1"),
-        "zone": ZoneId("zone-a"),
-        "zones": (ZoneId("zone-a"),),
-        "caller_address": Address(host=HOST, port=find_free_port()),
-        "readiness_address": Address(host=HOST, port=find_free_port()),
-        "platform_address": Address(host=HOST, port=store.port),
-        "peer_host": HOST,
-        "peer_port": find_free_port(),
-        "metrics_port": find_free_port(),
-        "seed_hosts": (),
-        "heartbeat_ms": 1_200.0,
-        "max_sockets": 1_000,
-        "is_first_start": True,
-        "bounds": bounds,
-    } | fields
-    return GatewaySettings(**values)
-
-
-class Deployment:
-    """The store, upstreams by name, and one gateway instance."""
-
-    def __init__(self) -> None:
-        self.store = StoreStandin()
-        self.upstreams = {
-            name: UpstreamStandin(upstream=name, service=service)
-            for name, service in (
-                ("a1", "shard-1"),
-                ("a2", "shard-1"),
-                ("b1", "shard-2"),
-                ("b2", "shard-2"),
-                ("d1", "desk"),
-                ("d2", "desk"),
-            )
-        }
-        self.settings: GatewaySettings | None = None
-        self.instance: GatewayInstance | None = None
-
-    async def start(self) -> None:
-        await self.store.start()
-        await self.store.put("op/config", build_configuration())
-        for upstream in self.upstreams.values():
-            await upstream.start()
-            await self.store.put(f"servers/{upstream.upstream}", upstream.describe())
-        self.settings = build_settings(self.store)
-        self.instance = GatewayInstance(settings=self.settings)
-        await self.instance.start()
-        await self.wait_for(lambda: self.instance._core.lifecycle.is_ready)
-
-    def call(self) -> Caller:
-        return Caller(port=self.settings.caller_address.port)
-
-    async def wait_for(self, condition) -> None:
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            while not condition():
-                await asyncio.sleep(0.01)
-
-    def list_runs(self, request: str) -> list[str]:
-        return [
-            upstream.upstream
-            for upstream in self.upstreams.values()
-            for run, _ in upstream.runs
-            if run == request
-        ]
-
-    def stop(self) -> None:
-        self.instance.stop_at_once()
-        self.store.stop()
-        for upstream in self.upstreams.values():
-            upstream.stop()
+from tests.gateway.deployment import Deployment
 
 
 @pytest_asyncio.fixture
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -74,8 +74,9 @@
                 status, fields, content = answer
                 writer.write(encode(f"HTTP/1.1 {status} x", fields, content))
                 await writer.drain()
-        except (asyncio.IncompleteReadError, OSError):
-            # The other end closed its connection, as it may at any time.
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            # The other end closed its connection, as it may at any time, or the loop
+            # ends.
             return
         finally:
             self._writers.discard(writer)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.gateway.standins import API_KEY, build_configuration
+from tests.gateway.standins import API_KEY, Caller, build_configuration
 
 
 async def test_search_merges_one_part_of_each_shard(deployment) -> None:
@@ -208,6 +208,40 @@
     assert (status, headers["missing-parts"]) == (200, "1")
 
 
+async def ask_readiness(deployment) -> int:
+    address = deployment.settings.readiness_address
+    async with Caller(port=address.port) as prober:
+        return (await prober.send("/ready", "probe"))[0]
+
+
+async def test_cut_off_instance_refuses_at_once_and_turns_callers_away(
+    deployment,
+) -> None:
+    """Behind a partition it failed each request in turn and went on being ready."""
+    ports = {name: u.port for name, u in deployment.upstreams.items()}
+    for upstream in deployment.upstreams.values():
+        upstream.stop()
+    async with deployment.call() as caller:
+        for number in range(8):
+            await caller.send("/search/x", f"s{number}")
+            await caller.send("/read/x", f"r{number}")
+            await asyncio.sleep(0.05)
+        answers = [
+            await caller.send("/search/x", "last-1"),
+            await caller.send("/read/x", "last-2"),
+        ]
+    assert [status for status, _, _ in answers] == [503, 503]
+    assert all("retry-after" in headers for _, headers, _ in answers)
+    assert await ask_readiness(deployment) == 503
+    for name, upstream in deployment.upstreams.items():
+        await upstream.start(ports[name])
+    async with asyncio.timeout(5):
+        while await ask_readiness(deployment) != 200:
+            await asyncio.sleep(0.05)
+    async with deployment.call() as caller:
+        assert (await caller.send("/search/x", "again"))[0] == 200
+
+
 async def test_failed_search_does_not_promise_that_nothing_ran(deployment) -> None:
     for name in ("a1", "a2", "b1", "b2"):
         deployment.upstreams[name].stop()
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -123,12 +123,26 @@
 
 def test_unreachable_upstream_is_avoided_for_longer_each_time() -> None:
     replica = Replica(entry=build_entry(1), seen_at=Millis(0))
-    call(replica, 0, 1, CallEnd.REFUSED_CONNECTION)
+    call(replica, 0, 1, CallEnd.LOST)
     assert replica.is_avoided(Millis(150)) and not replica.is_avoided(Millis(210))
-    call(replica, 210, 211, CallEnd.REFUSED_CONNECTION)
+    call(replica, 210, 211, CallEnd.LOST)
     assert replica.is_avoided(Millis(600))
 
 
+def test_service_is_unreachable_when_all_its_upstreams_are() -> None:
+    """Behind a partition every call ends at once; such requests are refused unrun."""
+    replicas = build_replicas(build_entry(1), build_entry(2))
+    assert replicas.is_reachable(SERVICE, Millis(0))
+    for replica in replicas.replicas.values():
+        call(replica, 0, 1, CallEnd.LOST)
+    assert replicas.is_reachable(SERVICE, Millis(2))
+    for replica in replicas.replicas.values():
+        replica.note_unconnected(Millis(2))
+    assert not replicas.is_reachable(SERVICE, Millis(3))
+    replicas.replicas[UpstreamId("i-2")].note_connected(Millis(4))
+    assert replicas.is_reachable(SERVICE, Millis(5))
+
+
 def test_cold_upstream_is_a_second_choice() -> None:
     replicas = build_replicas(build_entry(1, cold_left_ms=3_000.0), build_entry(2))
     assert count_choices(replicas, 100) == {"i-2": 100}
