Leave routes without upstreams out of readiness, and log its changes

Ruled out: partitions (all peers were heard) and keys. Change: readiness counts routes with at least one registered upstream; a line readiness_changed with its reason.

--- a/src/skylarkcart/explain/_story.py
+++ b/src/skylarkcart/explain/_story.py
@@ -16,6 +16,7 @@
         "lines_omitted",
         "peer_found",
         "peer_lost",
+        "readiness_changed",
         "settings_reloaded",
         "started",
         "draining",
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -17,7 +17,7 @@
 from skylarkcart.quotas import INITIAL_PART, Quotas
 from skylarkcart.registry import Registry, RegistryEvent
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
-from skylarkcart.routing import RouteTable
+from skylarkcart.routing import RouteTable, list_services
 from skylarkcart.types import ServiceId, UpstreamId
 
 # Readiness fails first when an instance stops; the balancer asks once a second and
@@ -182,16 +182,30 @@
         reachable = sum(self.replicas.is_reachable(shard, now) for shard in shards)
         return reachable >= route.gathering.min_coverage * len(shards)
 
+    def find_unready_reason(self, now: Millis) -> str | None:
+        """Returns why callers should not come here, or None if they should."""
+        if not self.lifecycle.is_ready:
+            return self.lifecycle.state.value
+        if not self.trusts_keys(now):
+            return "keys_not_confirmed"
+        if not self.may_serve_most(now):
+            return "upstreams_unreachable"
+        return None
+
     def may_serve_most(self, now: Millis) -> bool:
         """Whether most routes may be served, so that callers should come here.
 
-        Behind a partition they are served better by another zone.
+        Behind a partition they are served better by another zone. Routes without any
+        registered upstream say nothing of the network and are left out.
         """
         if self.table is None:
             return False
-        routes = self.table.configuration.routes
-        served = sum(self.may_serve(route, now) for route in routes)
-        return 2 * served >= len(routes)
+        served = [
+            self.may_serve(route, now)
+            for route in self.table.configuration.routes
+            if any(map(self.replicas.has_any, list_services(route)))
+        ]
+        return 2 * sum(served) >= len(served)
 
     def probe_unreachable(self) -> None:
         """Tries one connection for each service that can't be reached."""
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -42,6 +42,7 @@
         self._service = RequestService(core=self._core)
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._unready_reason: str | None = "starting"
         self._servers: list[asyncio.AbstractServer] = []
 
     async def start(self) -> None:
@@ -134,10 +135,23 @@
                 core.apply_published()
             core.pool.close_idle(now)
             core.probe_unreachable()
+            self._note_readiness(core.find_unready_reason(now))
             age_ms = core.registry.get_age_ms(now)
             core.metrics.state_age.set(age_ms / 1000.0)
             core.metrics.state_revision.set(core.registry.revision)
 
+    def _note_readiness(self, reason: str | None) -> None:
+        if reason == self._unready_reason:
+            return
+        self._unready_reason = reason
+        core = self._core
+        core.log.write(
+            "readiness_changed",
+            is_ready=reason is None,
+            reason=reason,
+            state_age_ms=round(min(1e9, core.registry.get_age_ms(core.now))),
+        )
+
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/src/skylarkcart/gateway/_pages.py
+++ b/src/skylarkcart/gateway/_pages.py
@@ -42,13 +42,8 @@
 
     def render() -> tuple[int, bytes]:
         core.lifecycle.note_probe()
-        now = core.now
-        is_ready = (
-            core.lifecycle.is_ready
-            and core.trusts_keys(now)
-            and core.may_serve_most(now)
-        )
-        return (200, b"ready") if is_ready else (503, b"not ready")
+        reason = core.find_unready_reason(core.now)
+        return (200, b"ready") if reason is None else (503, reason.encode())
 
     return await _serve(render, address.host, address.port)
 
--- a/src/skylarkcart/routing/__init__.py
+++ b/src/skylarkcart/routing/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from skylarkcart.routing._table import RouteTable
+from skylarkcart.routing._table import RouteTable, list_services
 from skylarkcart.routing._weights import WeightedServices
 
-__all__ = ["RouteTable", "WeightedServices"]
+__all__ = ["RouteTable", "WeightedServices", "list_services"]
--- a/src/skylarkcart/routing/_table.py
+++ b/src/skylarkcart/routing/_table.py
@@ -55,9 +55,15 @@
 
     def list_used_services(self) -> frozenset[ServiceId]:
         """Returns the services that a route of this version names."""
-        names: set[ServiceId] = set()
-        for route in self.configuration.routes:
-            names.update(share.service for share in route.shares)
-            if route.gathering is not None:
-                names.update(route.gathering.shards)
-        return frozenset(names)
+        return frozenset(
+            service
+            for route in self.configuration.routes
+            for service in list_services(route)
+        )
+
+
+def list_services(route: Route) -> tuple[ServiceId, ...]:
+    """Returns the services that a route's requests may reach."""
+    if route.gathering is not None:
+        return route.gathering.shards
+    return tuple(share.service for share in route.shares)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -242,6 +242,22 @@
         assert (await caller.send("/search/x", "again"))[0] == 200
 
 
+async def test_routes_without_upstreams_do_not_turn_callers_away(deployment) -> None:
+    """Operators add routes before their upstreams; instances once were not ready."""
+    document = build_configuration(2)
+    for number in range(20):
+        route = document["routes"][1] | {
+            "name": f"idle-{number}",
+            "prefix": f"/idle-{number}/",
+            "service": f"later-{number}",
+        }
+        document["routes"].append(route)
+    await deployment.store.put("op/config", document)
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core.table.configuration.version == 2)
+    assert await ask_readiness(deployment) == 200
+
+
 async def test_failed_search_does_not_promise_that_nothing_ran(deployment) -> None:
     for name in ("a1", "a2", "b1", "b2"):
         deployment.upstreams[name].stop()
