Ask other instances before the store at a start

Change: a process that starts waits 150 ms for published state from another instance, up to 2 s more when the whole fleet starts for the first time.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -29,6 +29,12 @@
 # again after this time.
 RETRY_READING_MS = 2_000.0
 
+# A process that starts first asks other instances, since each call to the store is
+# priced; when the whole fleet starts for the first time, the instances spread out.
+ASK_PEERS_MS = 150.0
+FIRST_START_SPREAD_MS = 2_000.0
+PEER_CHECK_MS = 25.0
+
 # How often an instance that does not read asks whether it should.
 IDLE_PAUSE_MS = 200.0
 
@@ -47,11 +53,24 @@
     async def run(self) -> None:
         """Reads until cancelled."""
         try:
+            await self._wait_for_peers()
             while True:
                 await self._step()
         finally:
             self._store.close()
 
+    async def _wait_for_peers(self) -> None:
+        """Gives other instances time to pass on published state."""
+        core = self._core
+        wait_ms = ASK_PEERS_MS
+        if core.settings.is_first_start:
+            wait_ms += FIRST_START_SPREAD_MS * core.random.random()
+        until = core.now + wait_ms
+        while core.now < until and core.registry.revision == 0:
+            await asyncio.sleep(PEER_CHECK_MS / 1000.0)
+        # State from another instance is followed by watching, like one's own.
+        self._needs_snapshot = core.registry.revision == 0
+
     async def _step(self) -> None:
         core = self._core
         now = core.now
