--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -144,7 +144,7 @@
             hosts = dict.fromkeys(self._list_direct_hosts())
         else:
             hosts = dict.fromkeys(self._draw_hosts())
-        if now >= self._seeds_due_at:
+        if now >= self._seeds_due_at or not hosts:
             self._seeds_due_at = Millis(now + SEED_INTERVAL_MS)
             unknown = [seed for seed in self._seed_hosts if not self._knows(seed)]
             if unknown or not hosts:
--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -32,7 +32,7 @@
 # A process that starts first asks other instances, since each call to the store is
 # priced; when the whole fleet starts for the first time, the instances spread out.
 ASK_PEERS_MS = 150.0
-FIRST_START_SPREAD_MS = 2_000.0
+FIRST_START_SPREAD_MS = 5_000.0
 PEER_CHECK_MS = 25.0
 
 # How often an instance that does not read asks whether it should.
