--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -27,6 +27,7 @@
 # Descriptions of others in a report, half of them the newest ones, so that it fits
 # into one packet of 1,500 bytes.
 MAX_OTHERS = 14
+MAX_OTHERS_BETWEEN_ZONES = 6
 
 # Where all report to all, others are only described in one of so many rounds, to
 # introduce instances to each other.
@@ -242,9 +243,13 @@
             key=lambda peer: peer.described_at,
             reverse=True,
         )
-        newest, rest = peers[: MAX_OTHERS // 2], peers[MAX_OTHERS // 2 :]
+        most = MAX_OTHERS
+        receiver = self._peers_by_host.get(to_host)
+        if receiver is not None and receiver.member.zone != self._zone:
+            most = MAX_OTHERS_BETWEEN_ZONES
+        newest, rest = peers[: most // 2], peers[most // 2 :]
         # The newest descriptions alone would leave out those that few have heard of.
-        drawn = self._random.sample(rest, min(MAX_OTHERS - len(newest), len(rest)))
+        drawn = self._random.sample(rest, min(most - len(newest), len(rest)))
         return tuple(
             msgspec.structs.replace(peer.member, age_ms=now - peer.described_at)
             for peer in (*newest, *drawn)
