--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -34,6 +34,9 @@
 # connections that are just closing.
 CONNECTIONS_USED_PART = 0.9
 
+# Connections opened ahead in one sweep, so that requests are not held up.
+MAX_OPENED_AHEAD = 16
+
 # Assumed before the first call of a route, as a part of its target latency.
 INITIAL_LATENCY_PART = 0.3
 
@@ -217,10 +220,21 @@
                     self.pool.probe(self.random.choice(replicas))
 
     def open_ahead(self) -> None:
-        """Opens a first connection to each upstream that routes lead to."""
+        """Opens a connection for services without any, a few at a time.
+
+        The first requests after a repartition would otherwise open one to every shard.
+        """
+        opened = 0
         for service in self._used_services:
-            for replica in self.replicas.list_service(service):
-                self.pool.open_ahead(replica)
+            replicas = self.replicas.list_service(service)
+            if not replicas or any(map(self.pool.has_connection, replicas)):
+                continue
+            chosen = self.replicas.choose(service, now=self.now)
+            if not chosen.is_avoided(self.now):
+                self.pool.open_ahead(chosen)
+                opened += 1
+            if opened == MAX_OPENED_AHEAD:
+                return
 
     def _get_connection_limit(self, replica: Replica) -> int:
         service = None
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -135,6 +135,7 @@
                 core.apply_published()
             core.pool.close_idle(now)
             core.probe_unreachable()
+            core.open_ahead()
             self._note_readiness(core.find_unready_reason(now))
             age_ms = core.registry.get_age_ms(now)
             core.metrics.state_age.set(age_ms / 1000.0)
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -38,7 +38,7 @@
 
 # An upstream closes an idle connection after the time that it states; the request and
 # its delay need some of it.
-IDLE_TIMEOUT_MARGIN_MS = 1_500.0
+IDLE_TIMEOUT_MARGIN_MS = 800.0
 
 
 class CallResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -179,9 +179,10 @@
             return Access.UNCONNECTED
         return Access.FULL
 
-    def count_connections(self, upstream: UpstreamId) -> int:
-        sockets = self._sockets.get(upstream)
-        return 0 if sockets is None else sockets.total
+    def has_connection(self, replica: Replica) -> bool:
+        """Whether a connection is open or being opened."""
+        sockets = self._sockets.get(replica.entry.upstream)
+        return sockets is not None and sockets.total > 0
 
     def open_ahead(self, replica: Replica) -> None:
         """Opens a first connection, so that no call has to wait for it."""
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -214,6 +214,17 @@
         return (await prober.send("/ready", "probe"))[0]
 
 
+async def test_connections_are_open_before_the_first_request(deployment) -> None:
+    """After a repartition the first search opened a connection to each shard."""
+    core = deployment.instance._core
+    for service in ("shard-1", "shard-2", "desk"):
+        replicas = core.replicas.list_service(service)
+        await deployment.wait_for(
+            lambda replicas=replicas: any(map(core.pool.has_connection, replicas))
+        )
+        assert sum(map(core.pool.has_connection, replicas)) == 1
+
+
 async def test_cut_off_instance_refuses_at_once_and_turns_callers_away(
     deployment,
 ) -> None:
