Bound calls to cold upstreams, and let the fleet's start and outages cost fewer calls

A cold upstream with a stated bound had none here. Change: an instance that got state waits up to 600 ms for its confirmation; pauses after failed calls grow with the fleet; each instance's part of a cold upstream's calls fills from empty. Settings that nothing used are gone.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -34,6 +34,10 @@
 # connections that are just closing.
 CONNECTIONS_USED_PART = 0.9
 
+# Calls to a cold upstream count in each second, in which those of several instances
+# may fall together.
+COLD_USED_PART = 0.8
+
 # Connections opened ahead in one sweep, so that requests are not held up.
 MAX_OPENED_AHEAD = 16
 
@@ -117,6 +121,7 @@
             self.table = RouteTable(configuration=configuration, random=self.random)
             self._used_services = self.table.list_used_services()
             self.quotas.configure(self.table.accounts, now)
+            self.share_cold_rates()
             self._forget_routes()
         dropped = self.replicas.update(
             self.registry.upstreams, frozenset(self.registry.closed_zones)
@@ -185,6 +190,16 @@
         reachable = sum(self.replicas.is_reachable(shard, now) for shard in shards)
         return reachable >= route.gathering.min_coverage * len(shards)
 
+    def share_cold_rates(self) -> None:
+        """Divides the calls that cold upstreams bear by the fleet's size."""
+        if self.table is None:
+            return
+        self.replicas.cold_rates = {
+            name: COLD_USED_PART * service.cold_calls_per_s / self.fleet.assumed_size
+            for name, service in self.table.services.items()
+            if service.cold_calls_per_s > 0
+        }
+
     def find_unready_reason(self, now: Millis) -> str | None:
         """Returns why callers should not come here, or None if they should."""
         if not self.lifecycle.is_ready:
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -136,6 +136,7 @@
             core.pool.close_idle(now)
             core.probe_unreachable()
             core.open_ahead()
+            core.share_cold_rates()
             self._note_readiness(core.find_unready_reason(now))
             age_ms = core.registry.get_age_ms(now)
             core.metrics.state_age.set(age_ms / 1000.0)
--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -22,6 +22,10 @@
 FIRST_PAUSE_MS = 100.0
 MAX_PAUSE_MS = 800.0
 
+# While the store is away, all instances try; together they need no more than one call
+# in this time, as the first success is passed on.
+FLEET_PAUSE_MS = 60.0
+
 # Changes that follow each other within this time come with one call.
 GATHER_CHANGES_MS = 120.0
 
@@ -34,6 +38,7 @@
 ASK_PEERS_MS = 150.0
 FIRST_START_SPREAD_MS = 5_000.0
 PEER_CHECK_MS = 25.0
+CONFIRM_WAIT_MS = 600.0
 
 # How often an instance that does not read asks whether it should.
 IDLE_PAUSE_MS = 200.0
@@ -66,7 +71,13 @@
         if core.settings.is_first_start:
             wait_ms += FIRST_START_SPREAD_MS * core.random.random()
         until = core.now + wait_ms
-        while core.now < until and core.registry.revision == 0:
+        while core.now < until and core.registry.confirmed_at is None:
+            if core.registry.revision:
+                # The next reports confirm what another instance passed on.
+                until = max(until, core.now + CONFIRM_WAIT_MS)
+                break
+            await asyncio.sleep(PEER_CHECK_MS / 1000.0)
+        while core.now < until and core.registry.confirmed_at is None:
             await asyncio.sleep(PEER_CHECK_MS / 1000.0)
         # State from another instance is followed by watching, like one's own.
         self._needs_snapshot = core.registry.revision == 0
@@ -136,7 +147,8 @@
         core.reaches_store = False
         self._failed_at = core.now
         self._failures += 1
-        pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (self._failures - 1))
+        longest_ms = max(MAX_PAUSE_MS, FLEET_PAUSE_MS * core.fleet.assumed_size)
+        pause_ms = min(longest_ms, FIRST_PAUSE_MS * 2 ** (self._failures - 1))
         await asyncio.sleep(pause_ms * core.random.uniform(0.5, 1.0) / 1000.0)
 
     def _note_idle(self, now: Millis) -> None:
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -16,23 +16,19 @@
     ``extra_calls_ratio`` extra calls for each request, and ``extra_calls_slack`` more.
     """
 
-    drain_ms: float
     shutdown_grace_ms: float
-    configuration_ms: float
     withdrawal_ms: float
     extra_calls_ratio: float
     extra_calls_window_ms: float
     extra_calls_slack: float
-    cold_overshoot: float
-    cold_slack: float
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
     """What a gateway instance is told at its start.
 
     ``seed_hosts`` are instances that may be stale or down. All instances of a fleet
-    use the same ``peer_port``. ``max_sockets`` bounds open sockets.
-    ``is_first_start`` holds if no instance of the fleet ran before.
+    use the same ``peer_port``. ``is_first_start`` holds if no instance of the fleet ran
+    before.
     """
 
     instance: InstanceId
@@ -45,7 +41,5 @@
     peer_port: int
     metrics_port: int
     seed_hosts: tuple[str, ...]
-    heartbeat_ms: float
-    max_sockets: int
     is_first_start: bool
     bounds: Bounds
--- a/src/skylarkcart/platform/_machine.py
+++ b/src/skylarkcart/platform/_machine.py
@@ -25,22 +25,13 @@
     control: str
 
 
-class _Limits(_Section, frozen=True):
-    memory_mb: int = 300
-    max_fds: int = 1024
-
-
 class _Bounds(_Section, frozen=True):
-    drain_ms: float = 3_000.0
     grace_s: float = 6.0
-    config_apply_ms: float = 3_000.0
     revoke_strict: bool = True
     revoke_ms: float = 5_000.0
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     retry_budget_slack: float = 50.0
-    cold_overshoot: float = 1.5
-    cold_slack: float = 5.0
 
 
 class _Store(_Section, frozen=True):
@@ -54,12 +45,10 @@
     internal_ports: tuple[int, int]
     listen_addrs: _Listen
     platform: _Store
-    heartbeat_ms: float = 1_200.0
     # True only when the whole system starts for the first time.
     bootstrap: bool = False
     zones: dict[str, str] = {}
     seeds: tuple[str, ...] = ()
-    limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
 
 
@@ -113,8 +102,6 @@
         seed_hosts=tuple(
             addresses[f"seeds.{i}"].host for i in range(len(document.seeds))
         ),
-        heartbeat_ms=document.heartbeat_ms,
-        max_sockets=max(64, document.limits.max_fds - 200),
         is_first_start=document.bootstrap,
         bounds=_convert_bounds(document.bounds),
     )
@@ -122,13 +109,9 @@
 
 def _convert_bounds(bounds: _Bounds) -> Bounds:
     return Bounds(
-        drain_ms=bounds.drain_ms,
         shutdown_grace_ms=bounds.grace_s * MILLISECONDS_PER_SECOND,
-        configuration_ms=bounds.config_apply_ms,
         withdrawal_ms=bounds.revoke_ms if bounds.revoke_strict else float("inf"),
         extra_calls_ratio=bounds.retry_budget_ratio,
         extra_calls_window_ms=bounds.budget_window_s * MILLISECONDS_PER_SECOND,
         extra_calls_slack=bounds.retry_budget_slack,
-        cold_overshoot=bounds.cold_overshoot,
-        cold_slack=bounds.cold_slack,
     )
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -12,6 +12,8 @@
 from skylarkcart.exchange import ReportedLoad
 from skylarkcart.published import UpstreamEntry
 
+MILLISECONDS_PER_SECOND = 1000.0
+
 # The weight of one call in the moving averages.
 SAMPLE_WEIGHT = 0.2
 
@@ -90,13 +92,29 @@
         self._failing = 0.0
         self._failing_at = seen_at
         self._failures_in_row = 0
+        self._cold_tokens = 0.0
+        self._cold_tokens_at: Millis | None = None
         self._avoided_until = Millis(float("-inf"))
         self._load: ReportedLoad | None = None
         self._load_at = seen_at
         self._own_in_report = 0
 
+    def may_call_cold(self, now: Millis, *, calls_per_s: float) -> bool:
+        """Whether this instance's part of a cold upstream's calls has room.
+
+        The part fills from empty, so that instances that learn of a cold upstream
+        together do not all call it at once.
+        """
+        if self._cold_tokens_at is None:
+            self._cold_tokens_at = now
+        elapsed_s = max(0.0, now - self._cold_tokens_at) / MILLISECONDS_PER_SECOND
+        self._cold_tokens_at = now
+        self._cold_tokens = min(1.0, self._cold_tokens + elapsed_s * calls_per_s)
+        return self._cold_tokens >= 1.0
+
     def begin_call(self, call: int, *, now: Millis, usual_ms: float) -> None:
         self.in_flight[call] = (now, max(1.0, usual_ms))
+        self._cold_tokens = max(0.0, self._cold_tokens - 1.0)
 
     def end_call(
         self, call: int, end: CallEnd, *, now: Millis, load: ReportedLoad | None = None
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -55,6 +55,9 @@
         self._random = random
         self._by_service: dict[ServiceId, dict[UpstreamId, Replica]] = {}
         self.replicas: dict[UpstreamId, Replica] = {}
+        # Calls a second that this instance may make to a cold upstream of a service;
+        # services that are not named have no limit of their own.
+        self.cold_rates: dict[ServiceId, float] = {}
 
     def update(
         self,
@@ -108,7 +111,7 @@
         best: Replica | None = None
         best_cost = float("inf")
         for upstream, replica in self._by_service.get(service, {}).items():
-            if upstream in tried:
+            if upstream in tried or not self._may_call(replica, now):
                 continue
             cost = self._estimate_cost(replica, now)
             cost *= _ACCESS_FACTORS[get_access(replica)]
@@ -153,6 +156,12 @@
                 )
             )
 
+    def _may_call(self, replica: Replica, now: Millis) -> bool:
+        rate = self.cold_rates.get(replica.entry.service)
+        if rate is None or not replica.is_cold(now):
+            return True
+        return replica.may_call_cold(now, calls_per_s=rate)
+
     def _put(self, upstream: UpstreamId, known: Registered) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -28,15 +28,11 @@
 
 def build_settings(store: StoreStandin, **fields: object) -> GatewaySettings:
     bounds = Bounds(
-        drain_ms=3_000.0,
         shutdown_grace_ms=6_000.0,
-        configuration_ms=3_000.0,
         withdrawal_ms=5_000.0,
         extra_calls_ratio=0.2,
         extra_calls_window_ms=10_000.0,
         extra_calls_slack=50.0,
-        cold_overshoot=1.5,
-        cold_slack=5.0,
     )
     values = {
         "instance": InstanceId("gateway-1"),
@@ -49,8 +45,6 @@
         "peer_port": find_free_port(),
         "metrics_port": find_free_port(),
         "seed_hosts": (),
-        "heartbeat_ms": 1_200.0,
-        "max_sockets": 1_000,
         "is_first_start": False,
         "bounds": bounds,
     } | fields
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -149,6 +149,26 @@
     assert "i-1" in count_choices(replicas, 3_100)
 
 
+def test_cold_upstream_gets_no_more_calls_than_it_bears() -> None:
+    """Freshly started upstreams fall over when all instances call them at once."""
+    entry = build_entry(1, cold_left_ms=10_000.0)
+    fleet = [build_replicas(entry) for _ in range(8)]
+    per_s = 20.0
+    calls: list[float] = []
+    for replicas in fleet:
+        replicas.cold_rates = {SERVICE: per_s / len(fleet)}
+    for now in range(0, 8_000, 2):
+        for replicas in fleet:
+            chosen = replicas.choose(SERVICE, now=Millis(now))
+            if chosen is not None:
+                chosen.begin_call(now, now=Millis(now), usual_ms=USUAL_MS)
+                chosen.end_call(now, CallEnd.ANSWERED, now=Millis(now + 1))
+                calls.append(now)
+    for start in range(0, 7_000, 100):
+        assert sum(start <= at < start + 1_000 for at in calls) <= 1.5 * per_s + 5
+    assert len(calls) >= 0.8 * per_s * 8
+
+
 def test_own_zone_is_preferred_while_it_is_not_busy() -> None:
     replicas = build_replicas(build_entry(1), build_entry(2, zone=ZoneId("zone-b")))
     assert count_choices(replicas, 0) == {"i-1": 100}
