--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from skylarkcart.budgets import ExtraCallKind
 from skylarkcart.clock import Millis
 from skylarkcart.gateway._core import Core
@@ -15,6 +13,11 @@
     Ending,
     Outcome,
 )
+from skylarkcart.gateway._exchange import (
+    UNAVAILABLE_RETRY_AFTER_MS,
+    USUAL_QUANTILE,
+    UpstreamExchange,
+)
 from skylarkcart.gateway._pool import Call, CallResult
 from skylarkcart.gateway._timing import RequestTimes
 from skylarkcart.platform._messages import encode_call, encode_gathered
@@ -29,18 +32,13 @@
 EARLY_HEDGE_QUANTILE = 0.85
 LATE_HEDGE_QUANTILE = 0.95
 
-# A second call that would not be back in time is not made; it takes this quantile.
-ANSWER_QUANTILE = 0.5
-
 MIN_HEDGE_AFTER_MS = 3.0
 
 # A hedge without budget or replica is considered again after this time.
 HEDGE_RETRY_MS = 8.0
 
-UNAVAILABLE_RETRY_AFTER_MS = 200.0
 
-
-class GatherExchange:
+class GatherExchange(UpstreamExchange):
     """Calls one upstream of each shard and answers with the merged parts."""
 
     def __init__(
@@ -52,12 +50,9 @@
         account: AccountId | None,
         times: RequestTimes,
     ) -> None:
-        self._core = core
-        self._ending = ending
-        self._route = route
-        self._account = account
-        self._times = times
-        self._latency = core.get_latency(route)
+        super().__init__(
+            core=core, ending=ending, route=route, account=account, times=times
+        )
         self._execution = GatherExecution(
             shards=route.gathering.shards,
             min_coverage=route.gathering.min_coverage,
@@ -66,7 +61,6 @@
             give_up_at=times.give_up_at,
         )
         self._calls: dict[Call, Part] = {}
-        self._timer: asyncio.TimerHandle | None = None
         self._hedges = 0
         self._retries = 0
         self._has_started = False
@@ -113,7 +107,7 @@
             data,
             request_id=self._ending.request.request_id,
             is_repeatable=True,
-            usual_ms=self._latency.get_quantile(ANSWER_QUANTILE),
+            usual_ms=self._latency.get_quantile(USUAL_QUANTILE),
             on_end=self._handle_end,
         )
         self._calls[call] = part
@@ -188,7 +182,7 @@
 
     def _hedge(self, now: Millis) -> None:
         after_ms = self._get_hedge_after()
-        in_time = now + self._latency.get_quantile(ANSWER_QUANTILE)
+        in_time = now + self._latency.get_quantile(USUAL_QUANTILE)
         if in_time > self._execution.answer_by and self._execution.is_enough(
             self._execution.answered_count
         ):
@@ -215,9 +209,7 @@
         hedge_at = self._execution.get_next_hedge(after_ms=self._get_hedge_after())
         if hedge_at is not None:
             due = min(due, max(hedge_at, now + HEDGE_RETRY_MS))
-        delay_s = max(0.0, due - now) / MILLISECONDS_PER_SECOND
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._handle_timer)
+        self._start_timer(due, now)
 
     def _answer(self) -> None:
         self._stop()
@@ -266,8 +258,5 @@
         ]
 
     def _stop(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        for call in self._calls:
-            self._core.pool.abandon(call)
+        self._end_calls(self._calls)
         self._calls.clear()
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -208,13 +208,15 @@
 
     def close_idle(self, now: Millis) -> None:
         """Closes connections that were idle for too long to be trusted."""
-        for sockets in self._sockets.values():
+        for upstream, sockets in list(self._sockets.items()):
             while sockets.idle:
                 connection, since = sockets.idle[0]
                 if now - since <= _get_max_idle_ms(connection):
                     break
                 sockets.idle.popleft()
                 connection.close()
+            if sockets.total == 0 and not sockets.waiting:
+                del self._sockets[upstream]
 
     def _take_idle(
         self, sockets: _UpstreamSockets, call: Call, now: Millis
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from skylarkcart.budgets import ExtraCallKind
 from skylarkcart.exchange import UpstreamAnswer
 from skylarkcart.gateway._core import Core
@@ -15,6 +13,11 @@
     Ending,
     Outcome,
 )
+from skylarkcart.gateway._exchange import (
+    UNAVAILABLE_RETRY_AFTER_MS,
+    USUAL_QUANTILE,
+    UpstreamExchange,
+)
 from skylarkcart.gateway._pool import Call, CallResult
 from skylarkcart.gateway._timing import RequestTimes
 from skylarkcart.platform._messages import encode_call, encode_relayed
@@ -23,14 +26,15 @@
 from skylarkcart.types import AccountId, ServiceId, UpstreamId
 from skylarkcart.verdict import RunVerdict
 
+# A call that waits longer than this quantile of the route's calls gets a second one.
 HEDGE_QUANTILE = 0.95
-ANSWER_QUANTILE = 0.5
 MIN_HEDGE_AFTER_MS = 5.0
+
+# A hedge without budget is considered again after this time.
 HEDGE_RETRY_MS = 20.0
-UNAVAILABLE_RETRY_AFTER_MS = 200.0
 
 
-class RelayExchange:
+class RelayExchange(UpstreamExchange):
     """Calls one upstream, and another one where the request permits it.
 
     A non-idempotent request goes to another upstream only if the first certainly did
@@ -47,19 +51,15 @@
         account: AccountId | None,
         times: RequestTimes,
     ) -> None:
-        self._core = core
-        self._ending = ending
-        self._route = route
+        super().__init__(
+            core=core, ending=ending, route=route, account=account, times=times
+        )
         self._service = service
-        self._account = account
-        self._times = times
-        self._latency = core.get_latency(route)
         self._tried: list[UpstreamId] = []
         self._calls: set[Call] = set()
         self._runs = 0
         self._failure: UpstreamAnswer | None = None
         self._verdict = RunVerdict.NOT_RUN
-        self._timer: asyncio.TimerHandle | None = None
         self._last_call_at = times.answer_by
         self._ends: list[str] = []
 
@@ -96,7 +96,7 @@
             data,
             request_id=self._ending.request.request_id,
             is_repeatable=self._route.is_idempotent,
-            usual_ms=self._latency.get_quantile(ANSWER_QUANTILE),
+            usual_ms=self._latency.get_quantile(USUAL_QUANTILE),
             on_end=self._handle_end,
         )
         self._calls.add(call)
@@ -172,11 +172,9 @@
         if self._may_hedge():
             hedge_at = self._last_call_at + self._get_hedge_after()
             due = min(due, max(hedge_at, now + HEDGE_RETRY_MS))
-        delay_s = max(0.0, due - now) / MILLISECONDS_PER_SECOND
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._check)
+        self._start_timer(due, now)
 
-    def _check(self) -> None:
+    def _handle_timer(self) -> None:
         if self._ending.is_done:
             return
         now = self._core.now
@@ -213,10 +211,7 @@
         return max(MIN_HEDGE_AFTER_MS, self._latency.get_quantile(HEDGE_QUANTILE))
 
     def _stop(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        for call in self._calls:
-            self._core.pool.abandon(call)
+        self._end_calls(self._calls)
         self._calls.clear()
 
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -225,6 +225,19 @@
         assert sum(map(core.pool.has_connection, replicas)) == 1
 
 
+async def test_nothing_is_kept_of_upstreams_that_are_gone(deployment) -> None:
+    """Upstreams are replaced thousands of times a day."""
+    core = deployment.instance._core
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 200
+    for name in ("d1", "d2"):
+        await deployment.store.delete(f"servers/{name}")
+    await deployment.wait_for(
+        lambda: not {"d1", "d2"} & set(core.pool._sockets)
+        and not {"d1", "d2"} & set(core.replicas.replicas)
+    )
+
+
 async def test_cut_off_instance_refuses_at_once_and_turns_callers_away(
     deployment,
 ) -> None:
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -129,6 +129,14 @@
     assert replica.is_avoided(Millis(600))
 
 
+def test_call_without_any_answer_counts_as_a_failure() -> None:
+    """Behind a silent partition nothing is refused; calls just never end."""
+    replica = Replica(entry=build_entry(1), seen_at=Millis(0))
+    for start in (0, 1_000):
+        call(replica, start, start + 400, CallEnd.SILENT)
+    assert replica.is_unreachable(Millis(1_401))
+
+
 def test_service_is_unreachable_when_all_its_upstreams_are() -> None:
     """Behind a partition every call ends at once; such requests are refused unrun."""
     replicas = build_replicas(build_entry(1), build_entry(2))
