Open no connection ahead to a cold upstream that may not be called

Change: none is opened then; budgets of services that no route names go once their window is over. Test: test_cold_upstreams_with_a_bound_do_not_end_the_process failed first (AttributeError).

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -245,7 +245,7 @@
             if not replicas or any(map(self.pool.has_connection, replicas)):
                 continue
             chosen = self.replicas.choose(service, now=self.now)
-            if not chosen.is_avoided(self.now):
+            if chosen is not None and not chosen.is_avoided(self.now):
                 self.pool.open_ahead(chosen)
                 opened += 1
             if opened == MAX_OPENED_AHEAD:
@@ -264,6 +264,11 @@
         names = {route.name for route in self.table.configuration.routes}
         for name in set(self._latencies) - names:
             del self._latencies[name]
+        for service in set(self._extra_calls) - self._used_services:
+            # Extra calls count until their window is over, also for a service that no
+            # route names any more.
+            if self.get_free_extra_part(service) == 1.0:
+                del self._extra_calls[service]
 
     def _record_event(self, event: RegistryEvent) -> None:
         self.log.write(
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -225,6 +225,25 @@
         assert sum(map(core.pool.has_connection, replicas)) == 1
 
 
+async def test_cold_upstreams_with_a_bound_do_not_end_the_process(deployment) -> None:
+    """While no cold upstream may be called, there is none to connect to ahead."""
+    services = [
+        {"name": name, "maxConns": 40, "coldStartS": 3, "coldPerS": 0.01}
+        for name in ("shard-1", "shard-2", "desk")
+    ]
+    for name, upstream in deployment.upstreams.items():
+        entry = upstream.describe() | {"coldLeftMs": 60_000, "born": 5}
+        await deployment.store.put(f"servers/{name}", entry)
+    await deployment.store.put("op/config", build_configuration(2, services=services))
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core.table.configuration.version == 2)
+    for upstream in core.replicas.replicas:
+        core.pool.drop(upstream)
+    core.open_ahead()
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 503
+
+
 async def test_nothing_is_kept_of_upstreams_that_are_gone(deployment) -> None:
     """Upstreams are replaced thousands of times a day."""
     core = deployment.instance._core
