Answer earlier requests before a connection with an unreadable one ends

Cause: read in the code: the refusal of an unreadable request was written at once, so that it reached the caller as the answer to the request before it. Ruled out: none needed; the test showed it (no request id in the first answer). Change: earlier requests are answered, then the connection ends. Test: test_unreadable_request_does_not_answer_the_one_before failed first.

--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -63,6 +63,8 @@
         self._limits = service.get_caller_limits()
         self._is_closing = False
         self._closes_after = False
+        # An unreadable request came after others; nothing more is read.
+        self._is_rejecting = False
         self._active_at = service.clock.now()
         self._begin_message()
 
@@ -82,7 +84,7 @@
         self._on_loss(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._is_closing:
+        if self._is_closing or self._is_rejecting:
             return
         if not self._is_reading:
             self._active_at = self._service.clock.now()
@@ -104,11 +106,14 @@
             return
         self._active_at = self._service.clock.now()
         self._transport.write(data)
-        if closes or self._closes_after:
+        if closes or (not self._queue and self._ends_after_answers()):
             self._close()
             return
         self._handle_next()
 
+    def _ends_after_answers(self) -> bool:
+        return self._closes_after or self._is_rejecting
+
     def check_timeouts(self, now: Millis) -> None:
         """Closes the connection if the caller takes or stays idle for too long."""
         if self._is_closing or self._is_handling:
@@ -195,9 +200,13 @@
             self._exchange = exchange
 
     def _reject(self, status: int, reason: str) -> None:
-        if self._is_closing:
+        if self._is_closing or self._is_rejecting:
             return
         self._service.note_rejected(reason, status)
+        if self._is_handling or self._queue:
+            # The answers to earlier requests come first, and then the connection ends.
+            self._is_rejecting = True
+            return
         self._transport.write(encode_refusal(status, reason=reason, closes=True))
         self._close()
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -402,6 +402,19 @@
     ]
 
 
+async def test_unreadable_request_does_not_answer_the_one_before(deployment) -> None:
+    """Its refusal once overtook the answer that the caller was waiting for."""
+    for upstream in deployment.upstreams.values():
+        upstream.delay_s = 0.2
+    async with deployment.call() as caller:
+        caller.write("/read/x", "r1")
+        await deployment.wait_for(lambda: deployment.instance._core.lifecycle.running)
+        caller.writer.write(b"not a request\r\n\r\n")
+        status, headers, _ = await caller.read()
+        assert (status, headers["request-id"]) == (200, "r1")
+        assert await caller.reader.read() == b""
+
+
 async def test_drain_answers_what_was_read_and_closes_idle_connections(
     deployment,
 ) -> None:
