Split the gateway's tests into requests and availability

Change: tests of published state, partitions, readiness and drain moved as they were; no check changed.

--- /dev/null
+++ b/tests/gateway/test_availability.py
@@ -0,0 +1,191 @@
+"""What an instance does as published state, upstreams and its own state change."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from tests.gateway.standins import API_KEY, Caller, build_configuration
+
+
+async def ask_readiness(deployment) -> int:
+    address = deployment.settings.readiness_address
+    async with Caller(port=address.port) as prober:
+        return (await prober.send("/ready", "probe"))[0]
+
+
+async def test_connections_are_open_before_the_first_request(deployment) -> None:
+    """After a repartition the first search opened a connection to each shard."""
+    core = deployment.instance._core
+    for service in ("shard-1", "shard-2", "desk"):
+        replicas = core.replicas.list_service(service)
+        await deployment.wait_for(
+            lambda replicas=replicas: any(map(core.pool.has_connection, replicas))
+        )
+        assert sum(map(core.pool.has_connection, replicas)) == 1
+
+
+async def test_cold_upstreams_with_a_bound_do_not_end_the_process(deployment) -> None:
+    """While no cold upstream may be called, there is none to connect to ahead."""
+    services = [
+        {"name": name, "maxConns": 40, "coldStartS": 3, "coldPerS": 0.01}
+        for name in ("shard-1", "shard-2", "desk")
+    ]
+    for name, upstream in deployment.upstreams.items():
+        entry = upstream.describe() | {"coldLeftMs": 60_000, "born": 5}
+        await deployment.store.put(f"servers/{name}", entry)
+    await deployment.store.put("op/config", build_configuration(2, services=services))
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core.table.configuration.version == 2)
+    for upstream in core.replicas.replicas:
+        core.pool.drop(upstream)
+    core.open_ahead()
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 503
+
+
+async def test_nothing_is_kept_of_upstreams_that_are_gone(deployment) -> None:
+    """Upstreams are replaced thousands of times a day."""
+    core = deployment.instance._core
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 200
+    for name in ("d1", "d2"):
+        await deployment.store.delete(f"servers/{name}")
+    await deployment.wait_for(
+        lambda: not {"d1", "d2"} & set(core.pool._sockets)
+        and not {"d1", "d2"} & set(core.replicas.replicas)
+    )
+
+
+async def test_cut_off_instance_refuses_at_once_and_turns_callers_away(
+    deployment,
+) -> None:
+    """Behind a partition it failed each request in turn and went on being ready."""
+    ports = {name: u.port for name, u in deployment.upstreams.items()}
+    for upstream in deployment.upstreams.values():
+        upstream.stop()
+    async with deployment.call() as caller:
+        for number in range(8):
+            await caller.send("/search/x", f"s{number}")
+            await caller.send("/read/x", f"r{number}")
+            await asyncio.sleep(0.05)
+        answers = [
+            await caller.send("/search/x", "last-1"),
+            await caller.send("/read/x", "last-2"),
+        ]
+    assert [status for status, _, _ in answers] == [503, 503]
+    assert all("retry-after" in headers for _, headers, _ in answers)
+    assert await ask_readiness(deployment) == 503
+    for name, upstream in deployment.upstreams.items():
+        await upstream.start(ports[name])
+    async with asyncio.timeout(5):
+        while await ask_readiness(deployment) != 200:
+            await asyncio.sleep(0.05)
+    async with deployment.call() as caller:
+        assert (await caller.send("/search/x", "again"))[0] == 200
+
+
+async def test_routes_without_upstreams_do_not_turn_callers_away(deployment) -> None:
+    """Operators add routes before their upstreams; instances once were not ready."""
+    document = build_configuration(2)
+    for number in range(20):
+        route = document["routes"][1] | {
+            "name": f"idle-{number}",
+            "prefix": f"/idle-{number}/",
+            "service": f"later-{number}",
+        }
+        document["routes"].append(route)
+    await deployment.store.put("op/config", document)
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core.table.configuration.version == 2)
+    assert await ask_readiness(deployment) == 200
+
+
+async def test_account_over_its_rate_is_refused_with_a_time_to_return(
+    deployment,
+) -> None:
+    tenants = [
+        {"name": "museum", "apiKeys": [API_KEY], "ratePerS": 1, "burst": 2},
+    ]
+    await deployment.store.put("op/config", build_configuration(2, tenants=tenants))
+    await deployment.wait_for(
+        lambda: deployment.instance._core.table.configuration.version == 2
+    )
+    async with deployment.call() as caller:
+        answers = [await caller.send("/read/x", f"r{i}") for i in range(6)]
+    statuses = [status for status, _, _ in answers]
+    assert statuses.count(200) <= 3 and statuses[-1] == 429
+    assert 0 < float(answers[-1][1]["retry-after"]) <= 1.01
+    assert deployment.list_runs("r5") == []
+
+
+async def test_withdrawn_key_stops_working_on_an_open_connection(deployment) -> None:
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 200
+        tenants = [{"name": "museum", "apiKeys": ["new"], "ratePerS": 9, "burst": 9}]
+        await deployment.store.put("op/config", build_configuration(2, tenants=tenants))
+        await deployment.wait_for(
+            lambda: deployment.instance._core.table.configuration.version == 2
+        )
+        assert (await caller.send("/read/x", "r2"))[0] == 401
+
+
+async def test_keys_are_not_trusted_when_the_store_is_silent_for_long(
+    deployment,
+) -> None:
+    """A key withdrawn behind a partition must stop working there too."""
+    core = deployment.instance._core
+    deployment.store.is_away = True
+    core.registry.confirmed_at = core.now - 3_800
+    async with deployment.call() as caller:
+        status, headers, _ = await caller.send("/read/x", "r1")
+        assert status == 503 and float(headers["retry-after"]) > 0
+    assert deployment.list_runs("r1") == []
+
+
+async def test_draining_and_removed_upstreams_get_no_more_work(deployment) -> None:
+    store, upstreams = deployment.store, deployment.upstreams
+    await store.put("servers/d1", upstreams["d1"].describe("draining"))
+    await deployment.wait_for(
+        lambda: "d1" not in deployment.instance._core.replicas.replicas
+    )
+    await store.delete("servers/d2")
+    await deployment.wait_for(
+        lambda: "d2" not in deployment.instance._core.replicas.replicas
+    )
+    async with deployment.call() as caller:
+        status, headers, body = await caller.send("/read/x", "r1")
+    assert (status, json.loads(body)["error"]) == (503, "no_upstream")
+    assert "retry-after" in headers
+
+
+async def test_unreadable_entry_names_no_upstream_and_stops_nothing(
+    deployment,
+) -> None:
+    await deployment.store.put("servers/broken", b"\xff\x00")
+    await deployment.store.put("servers/odd", {"service": 5})
+    await deployment.store.delete("servers/d1")
+    await deployment.wait_for(
+        lambda: "d1" not in deployment.instance._core.replicas.replicas
+    )
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 200
+
+
+async def test_drain_answers_what_was_read_and_closes_idle_connections(
+    deployment,
+) -> None:
+    """A rolling stop must not cut a request."""
+    for upstream in deployment.upstreams.values():
+        upstream.delay_s = 0.3
+    async with deployment.call() as idle, deployment.call() as busy:
+        assert (await idle.send("/read/x", "r0"))[0] == 200
+        busy.write("/read/x", "r1")
+        await deployment.wait_for(lambda: deployment.instance._core.lifecycle.running)
+        drain = asyncio.create_task(deployment.instance.drain_and_stop())
+        status, headers, _ = await busy.read()
+        assert (status, headers["connection"]) == (200, "close")
+        status, _, _ = await idle.send("/read/x", "r2")
+        assert status == 200
+        await drain
+        assert await idle.reader.read() == b""
