--- a/src/skylarkcart/gateway/main.py
+++ b/src/skylarkcart/gateway/main.py
@@ -15,6 +15,7 @@
 from absl import flags
 
 from skylarkcart.errors import InvalidValueError
+from skylarkcart.gateway._event_loop import run_event_loop
 from skylarkcart.gateway._instance import GatewayInstance
 from skylarkcart.platform._machine import read_machine_settings
 from skylarkcart.platform._names import SETTINGS_VARIABLE
@@ -50,7 +51,7 @@
     if _CHECK.value:
         print(f"{path}: valid settings of {settings.instance}")
         return
-    asyncio.run(_serve(pathlib.Path(path), GatewayInstance(settings=settings)))
+    run_event_loop(_serve(pathlib.Path(path), GatewayInstance(settings=settings)))
 
 
 async def _serve(path: pathlib.Path, instance: GatewayInstance) -> None:
