Take an instance's own delays from the time that a search may wait

The margin was a constant of 2 ms; timers fire late by up to 2.4 ms, and 2 KB take 1.6 ms on a link of 10 Mbit/s. Routes of a large fleet are seen seldom, so that the time spent on new connections was not known either. Ruled out: late calls to upstreams (three searches ended after 150 ms in the gateways' logs), and a wrong round trip (6 ms, as learned). Change: the margin is learned from timers, from building and writing answers and the link's rate; three requests of a route are enough.

--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -61,7 +61,12 @@
     route = table.find_route(request.host, request.path)
     if route is None:
         return Refusal(status=404, reason="no_route")
-    times = core.callers.plan(request, route, arrived_at=arrived_at)
+    times = core.callers.plan(
+        request,
+        route,
+        arrived_at=arrived_at,
+        margin_ms=core.answer_delays.get_margin_ms(),
+    )
     if not table.needs_key(route):
         return Admitted(route=route, account=None, times=times)
     if not core.trusts_keys(now):
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -10,7 +10,7 @@
 from skylarkcart.gateway._event_log import EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
-from skylarkcart.gateway._timing import CallerTimes
+from skylarkcart.gateway._timing import AnswerDelays, CallerTimes
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import Lifecycle
 from skylarkcart.published import CallerLimits, Route
@@ -75,6 +75,7 @@
             initial_part=1.0 if settings.is_first_start else INITIAL_PART
         )
         self.callers = CallerTimes()
+        self.answer_delays = AnswerDelays(link_mbps=settings.link_mbps)
         self.fleet = Fleet(
             instance=settings.instance,
             zone=settings.zone,
--- a/src/skylarkcart/gateway/_exchange.py
+++ b/src/skylarkcart/gateway/_exchange.py
@@ -41,8 +41,10 @@
         self._times = times
         self._latency = core.get_latency(route)
         self._timer: asyncio.TimerHandle | None = None
+        self._due = times.give_up_at
 
     def _start_timer(self, due: Millis, now: Millis) -> None:
+        self._due = due
         delay_s = max(0.0, due - now) / MILLISECONDS_PER_SECOND
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(delay_s, self._handle_timer)
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -175,6 +175,7 @@
         return True
 
     def _handle_timer(self) -> None:
+        self._core.answer_delays.note_timer(self._core.now - self._due)
         if not self._advance():
             now = self._core.now
             self._hedge(now)
@@ -212,6 +213,8 @@
         self._start_timer(due, now)
 
     def _answer(self) -> None:
+        core = self._core
+        began_at = core.now
         self._stop()
         parts = self._execution.answered
         missing = self._execution.missing
@@ -226,7 +229,8 @@
             closes=self._ending.closes,
         )
         if missing:
-            self._core.metrics.missing_parts.inc(missing)
+            core.metrics.missing_parts.inc(missing)
+        core.answer_delays.note_answer(took_ms=core.now - began_at, size=len(data))
         self._ending.answer(
             data,
             Outcome.PARTIAL if missing else Outcome.SUCCESS,
--- a/src/skylarkcart/gateway/_timing.py
+++ b/src/skylarkcart/gateway/_timing.py
@@ -3,31 +3,44 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
 
 import msgspec
 
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import CallerRequest
 from skylarkcart.published import Route
+from skylarkcart.replicas import RouteLatency
 
 # The way to a caller and back before any caller has shown it.
 INITIAL_ROUND_TRIP_MS = 6.0
 
-# From the decision to answer until the answer is on the way: a timer that fires late,
-# merging and writing.
+# What no instance can measure of an answer's way: queues in the sockets and on the
+# links. The callers' latencies exceed the measured times by about as much.
 ANSWER_MARGIN_MS = 2.0
 
+# Delays of timers and answers before any was measured.
+INITIAL_DELAY_MS = 1.0
+
+# Nearly all answers that are due at a moment must leave by then.
+DELAY_QUANTILE = 0.95
+
 # An answer at the very end of the caller's time must still reach it.
 GIVE_UP_MARGIN_MS = 10.0
 
+BYTES_PER_MS_PER_MBPS = 125.0
+
 # Requests of a route from which the time that its callers begin with is learned.
 LEARNED_REQUESTS = 128
-MIN_REQUESTS = 8
+MIN_REQUESTS = 3
+
+# After so many further requests the time is determined again.
+MAX_KEPT_REQUESTS = 16
 
 # Times spent before a request from which the round trip is learned, and the longest
 # that a new connection takes; whoever spent more has made an attempt before.
 LEARNED_ROUND_TRIPS = 64
-MIN_ROUND_TRIPS = 5
+MIN_ROUND_TRIPS = 3
 MAX_CONNECTING_MS = 50.0
 
 # A request that returns after a refusal has spent at least the round trips of an answer
@@ -48,6 +61,35 @@
     is_returning: bool
 
 
+class AnswerDelays:
+    """Learns how long after its due time an answer is on the way.
+
+    A timer fires late while the instance works on something else. Merging, writing and
+    a thin link take more.
+
+    >>> AnswerDelays(link_mbps=100.0).get_margin_ms()
+    4.0
+    """
+
+    def __init__(self, *, link_mbps: float) -> None:
+        self._bytes_per_ms = link_mbps * BYTES_PER_MS_PER_MBPS
+        self._timers = RouteLatency(initial_ms=INITIAL_DELAY_MS)
+        self._answers = RouteLatency(initial_ms=INITIAL_DELAY_MS)
+
+    def note_timer(self, late_ms: float) -> None:
+        self._timers.add(max(0.0, late_ms))
+
+    def note_answer(self, *, took_ms: float, size: int) -> None:
+        """Records an answer of ``size`` bytes that took so long to build and write."""
+        self._answers.add(took_ms + size / self._bytes_per_ms)
+
+    def get_margin_ms(self) -> float:
+        """Returns how long before its due time an answer must be begun."""
+        timer_ms = self._timers.get_quantile(DELAY_QUANTILE)
+        answer_ms = self._answers.get_quantile(DELAY_QUANTILE)
+        return ANSWER_MARGIN_MS + timer_ms + answer_ms
+
+
 class CallerTimes:
     """Learns from the time that callers have left what they have spent before.
 
@@ -56,17 +98,24 @@
     """
 
     def __init__(self) -> None:
-        self._begun_with: dict[str, collections.deque[float]] = {}
-        self._usual: dict[str, float] = {}
+        self._begun_with: dict[str, _BegunWith] = {}
         self._round_trips: collections.deque[float] = collections.deque(
             maxlen=LEARNED_ROUND_TRIPS
         )
         self.round_trip_ms = INITIAL_ROUND_TRIP_MS
 
     def plan(
-        self, request: CallerRequest, route: Route, *, arrived_at: Millis
+        self,
+        request: CallerRequest,
+        route: Route,
+        *,
+        arrived_at: Millis,
+        margin_ms: float,
     ) -> RequestTimes:
-        """Returns the due times of a request that arrived at a moment."""
+        """Returns the due times of a request that arrived at a moment.
+
+        An answer must be begun ``margin_ms`` before it has to be on the way.
+        """
         limit_ms = route.timeout_ms
         spent_ms = 0.0
         if request.time_left_ms is not None:
@@ -78,7 +127,7 @@
             # Its caller counts a new attempt after a refusal anew.
             spent_ms = 0.0
         target_ms = route.target_latency_ms or limit_ms
-        in_time_ms = target_ms - spent_ms - self.round_trip_ms - ANSWER_MARGIN_MS
+        in_time_ms = target_ms - spent_ms - self.round_trip_ms - margin_ms
         return RequestTimes(
             answer_by=Millis(arrived_at + max(0.0, in_time_ms)),
             give_up_at=Millis(arrived_at + max(1.0, limit_ms - GIVE_UP_MARGIN_MS)),
@@ -86,17 +135,11 @@
         )
 
     def _learn_spent(self, route: str, time_left_ms: float) -> float:
-        begun_with = self._begun_with.get(route)
-        if begun_with is None:
-            begun_with = collections.deque(maxlen=LEARNED_REQUESTS)
-            self._begun_with[route] = begun_with
-        begun_with.append(time_left_ms)
-        if len(begun_with) < MIN_REQUESTS:
+        begun_with = self._begun_with.setdefault(route, _BegunWith())
+        usual_ms = begun_with.learn(time_left_ms)
+        if usual_ms is None:
             return 0.0
-        if route not in self._usual or len(begun_with) % MIN_REQUESTS == 0:
-            counts = collections.Counter(begun_with)
-            self._usual[route] = counts.most_common(1)[0][0]
-        spent_ms = max(0.0, self._usual[route] - time_left_ms)
+        spent_ms = max(0.0, usual_ms - time_left_ms)
         if 0 < spent_ms <= MAX_CONNECTING_MS:
             self._learn_round_trip(spent_ms)
         return spent_ms
@@ -107,3 +150,44 @@
             ordered = sorted(self._round_trips)
             # The shorter ones are connections; later attempts have spent more.
             self.round_trip_ms = ordered[len(ordered) // 4]
+
+
+class _BegunWith:
+    """The time that the callers of one route begin with."""
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[float] = collections.deque(
+            maxlen=LEARNED_REQUESTS
+        )
+        self._usual_ms: float | None = None
+        self._until_found = MIN_REQUESTS
+
+    def learn(self, time_left_ms: float) -> float | None:
+        """Adds a request and returns the usual time, or None if it is unknown yet."""
+        self._samples.append(time_left_ms)
+        self._until_found -= 1
+        if self._until_found <= 0:
+            self._until_found = min(len(self._samples) // 2, MAX_KEPT_REQUESTS)
+            self._usual_ms = _find_usual(self._samples)
+        return self._usual_ms
+
+
+def _find_usual(samples: Collection[float]) -> float:
+    """Returns the time that explains most samples as first attempts.
+
+    A first attempt has at most the time of opening a connection less. Among equals, the
+    longest time wins.
+
+    >>> _find_usual([3600, 1216, 1210])
+    1216
+    """
+    counts = collections.Counter(samples)
+
+    def count_first_attempts(begun_with: float) -> int:
+        return sum(
+            count
+            for left, count in counts.items()
+            if 0 <= begun_with - left <= MAX_CONNECTING_MS
+        )
+
+    return max(counts, key=lambda left: (count_first_attempts(left), left))
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -28,7 +28,7 @@
 
     ``seed_hosts`` are instances that may be stale or down. All instances of a fleet
     use the same ``peer_port``. ``is_first_start`` holds if no instance of the fleet ran
-    before.
+    before. ``link_mbps`` is the rate of the machine's own link in megabits a second.
     """
 
     instance: InstanceId
@@ -42,4 +42,5 @@
     metrics_port: int
     seed_hosts: tuple[str, ...]
     is_first_start: bool
+    link_mbps: float
     bounds: Bounds
--- a/src/skylarkcart/platform/_machine.py
+++ b/src/skylarkcart/platform/_machine.py
@@ -14,6 +14,9 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 
+# A settings file that states no rate, or a rate of zero, says nothing of the link.
+MIN_LINK_MBPS = 1.0
+
 
 class _Section(msgspec.Struct, frozen=True, rename="camel"):
     pass
@@ -34,6 +37,10 @@
     retry_budget_slack: float = 50.0
 
 
+class _Limits(_Section, frozen=True):
+    link_mbps: float = 1_000.0
+
+
 class _Store(_Section, frozen=True):
     address: str
 
@@ -50,6 +57,7 @@
     zones: dict[str, str] = {}
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def read_machine_settings(path: pathlib.Path) -> GatewaySettings:
@@ -103,6 +111,7 @@
             addresses[f"seeds.{i}"].host for i in range(len(document.seeds))
         ),
         is_first_start=document.bootstrap,
+        link_mbps=max(MIN_LINK_MBPS, document.limits.link_mbps),
         bounds=_convert_bounds(document.bounds),
     )
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -46,6 +46,7 @@
         "metrics_port": find_free_port(),
         "seed_hosts": (),
         "is_first_start": False,
+        "link_mbps": 1_000.0,
         "bounds": bounds,
     } | fields
     return GatewaySettings(**values)
--- a/tests/gateway/test_timing.py
+++ b/tests/gateway/test_timing.py
@@ -4,10 +4,11 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import CallerRequest
-from skylarkcart.gateway._timing import CallerTimes, RequestTimes
+from skylarkcart.gateway._timing import AnswerDelays, CallerTimes, RequestTimes
 from skylarkcart.published import Route
 
 TARGET_MS = 100.0
+MARGIN_MS = 4.0
 
 
 def build_route() -> Route:
@@ -36,7 +37,7 @@
         forwarded=b"",
         body=b"",
     )
-    return times.plan(request, build_route(), arrived_at=Millis(0))
+    return times.plan(request, build_route(), arrived_at=Millis(0), margin_ms=MARGIN_MS)
 
 
 def teach(times: CallerTimes, round_trip_ms: int) -> None:
@@ -80,3 +81,32 @@
     times = CallerTimes()
     assert plan(times, 500).give_up_at < 500
     assert plan(times, None).give_up_at < 1_000
+
+
+def test_delays_of_the_instance_are_taken_from_the_target() -> None:
+    """On slow machines, each answer that left at the last moment came too late."""
+    quick, slow = (AnswerDelays(link_mbps=rate) for rate in (1_000.0, 10.0))
+    for _ in range(40):
+        quick.note_timer(0.1)
+        quick.note_answer(took_ms=0.2, size=2_000)
+        slow.note_timer(2.0)
+        slow.note_answer(took_ms=1.5, size=2_000)
+    extra_ms = slow.get_margin_ms() - quick.get_margin_ms()
+    assert abs(extra_ms - (1.9 + 1.3 + 1.6)) < 0.1
+
+
+def test_timer_that_fires_early_does_not_shorten_the_margin() -> None:
+    delays = AnswerDelays(link_mbps=100.0)
+    before_ms = delays.get_margin_ms()
+    for _ in range(40):
+        delays.note_timer(-5.0)
+    assert delays.get_margin_ms() >= before_ms - 1.0
+
+
+def test_few_requests_show_what_their_callers_spent() -> None:
+    """An instance of a large fleet sees a route's requests seconds apart."""
+    times = CallerTimes()
+    for left_ms in (3_600, 1_210, 1_216):
+        plan(times, left_ms)
+    assert plan(times, 1_216).answer_by - plan(times, 1_210).answer_by == 6
+    assert not plan(times, 1_216).is_returning
