Open connections where requests come, and fewer to upstreams at their cap

A call that waited for such a connection waited to its end. Change: the choice counts the time of opening a connection; connections are opened again ahead only while the service gets requests; upstreams that reset a new one are crowded for a while; a waiting call ends as not run; after a partition an instance is ready once all routes are served or half a second later.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -38,6 +38,10 @@
 # may fall together.
 COLD_USED_PART = 0.8
 
+# After a partition, services are reached again within two sweeps; callers should not
+# come here before.
+REGAINING_MS = 500.0
+
 # Connections opened ahead in one sweep, so that requests are not held up.
 MAX_OPENED_AHEAD = 16
 
@@ -89,12 +93,15 @@
             clock=clock,
             get_limit=self._get_connection_limit,
             on_open=self.metrics.connections_opened.inc,
+            on_connected=self._note_connected,
         )
         self.table: RouteTable | None = None
         # Nobody knows before the first call; an instance that did not need to call is
         # taken to reach the store.
         self.reaches_store = True
         self._used_services: frozenset[ServiceId] = frozenset()
+        self._opened_ahead: set[ServiceId] = set()
+        self._served_few_at = Millis(float("-inf"))
         self._extra_calls: dict[ServiceId, ExtraCalls] = {}
         self._latencies: dict[str, RouteLatency] = {}
 
@@ -121,6 +128,7 @@
         if configuration is not None and configuration is not known:
             self.table = RouteTable(configuration=configuration, random=self.random)
             self._used_services = self.table.list_used_services()
+            self._opened_ahead &= self._used_services
             self.quotas.configure(self.table.accounts, now)
             self.share_cold_rates()
             self._forget_routes()
@@ -174,11 +182,15 @@
         )
 
     def choose_replica(
-        self, service: ServiceId, tried: list[UpstreamId]
+        self, service: ServiceId, *, usual_ms: float, tried: list[UpstreamId]
     ) -> Replica | None:
         """Chooses an upstream, one with a free connection where there is one."""
         return self.replicas.choose(
-            service, now=self.now, tried=tried, get_access=self.pool.get_access
+            service,
+            now=self.now,
+            usual_ms=usual_ms,
+            tried=tried,
+            get_access=self.pool.get_access,
         )
 
     def may_serve(self, route: Route, now: Millis) -> bool:
@@ -214,8 +226,9 @@
     def may_serve_most(self, now: Millis) -> bool:
         """Whether most routes may be served, so that callers should come here.
 
-        Behind a partition they are served better by another zone. Routes without any
-        registered upstream say nothing of the network and are left out.
+        Behind a partition they are served better by another zone, and just after it
+        until all routes may be served again. Routes without any registered upstream say
+        nothing of the network and are left out.
         """
         if self.table is None:
             return False
@@ -224,7 +237,10 @@
             for route in self.table.configuration.routes
             if any(map(self.replicas.has_any, list_services(route)))
         ]
-        return 2 * sum(served) >= len(served)
+        if 2 * sum(served) < len(served):
+            self._served_few_at = now
+            return False
+        return all(served) or now - self._served_few_at > REGAINING_MS
 
     def probe_unreachable(self) -> None:
         """Tries one connection for each service that can't be reached."""
@@ -239,19 +255,35 @@
         """Opens a connection for services without any, a few at a time.
 
         The first requests after a repartition would otherwise open one to every shard.
+        A connection that was closed is opened again while the service gets requests.
         """
         opened = 0
         for service in self._used_services:
+            if service in self._opened_ahead and not self._has_requests(service):
+                continue
             replicas = self.replicas.list_service(service)
             if not replicas or any(map(self.pool.has_connection, replicas)):
                 continue
-            chosen = self.replicas.choose(service, now=self.now)
-            if chosen is not None and not chosen.is_avoided(self.now):
+            chosen = self.replicas.choose(service, now=self.now, usual_ms=1.0)
+            if (
+                chosen is not None
+                and not chosen.is_avoided(self.now)
+                and not chosen.is_crowded(self.now)
+            ):
                 self.pool.open_ahead(chosen)
+                self._opened_ahead.add(service)
                 opened += 1
             if opened == MAX_OPENED_AHEAD:
                 return
 
+    def _has_requests(self, service: ServiceId) -> bool:
+        calls = self._extra_calls.get(service)
+        return calls is not None and calls.has_requests(self.now)
+
+    def _note_connected(self, replica: Replica, took_ms: float) -> None:
+        replica.note_connected(self.now)
+        self.replicas.note_connected(replica.entry.service, took_ms=took_ms)
+
     def _get_connection_limit(self, replica: Replica) -> int:
         service = None
         if self.table is not None:
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -22,7 +22,7 @@
 from skylarkcart.gateway._timing import RequestTimes
 from skylarkcart.platform._messages import encode_call, encode_gathered
 from skylarkcart.published import Route
-from skylarkcart.replicas import CallEnd
+from skylarkcart.replicas import CallEnd, Replica
 from skylarkcart.scatter import GatherExecution, GatherVerdict, Part, merge_records
 from skylarkcart.types import AccountId, UpstreamId
 from skylarkcart.verdict import RunVerdict
@@ -89,10 +89,22 @@
         self._stop()
         self._ending.abandon(answered=self._execution.answered_count)
 
+    def _choose_replica(self, part: Part) -> Replica | None:
+        return self._core.choose_replica(
+            part.shard,
+            usual_ms=self._latency.get_quantile(USUAL_QUANTILE),
+            tried=part.tried,
+        )
+
     def _call(self, part: Part) -> bool:
-        replica = self._core.choose_replica(part.shard, part.tried)
+        """Calls the best upstream of a part, or returns False if there is none."""
+        replica = self._choose_replica(part)
         if replica is None:
             return False
+        self._send(part, replica)
+        return True
+
+    def _send(self, part: Part, replica: Replica) -> None:
         now = self._core.now
         upstream = replica.entry.upstream
         data = encode_call(
@@ -111,7 +123,6 @@
             on_end=self._handle_end,
         )
         self._calls[call] = part
-        return True
 
     def _handle_end(self, call: Call, result: CallResult) -> None:
         part = self._calls.pop(call)
@@ -183,17 +194,17 @@
 
     def _hedge(self, now: Millis) -> None:
         after_ms = self._get_hedge_after()
-        in_time = now + self._latency.get_quantile(USUAL_QUANTILE)
-        if in_time > self._execution.answer_by and self._execution.is_enough(
+        usual_ms = self._latency.get_quantile(USUAL_QUANTILE)
+        if now + usual_ms > self._execution.answer_by and self._execution.is_enough(
             self._execution.answered_count
         ):
             return
         for part in self._execution.list_hedges(now, after_ms=after_ms):
-            replica = self._core.choose_replica(part.shard, part.tried)
+            replica = self._choose_replica(part)
             if replica is None or replica.is_avoided(now):
                 continue
             if self._core.try_extra_call(part.shard, ExtraCallKind.HEDGE):
-                self._call(part)
+                self._send(part, replica)
                 self._hedges += 1
 
     def _get_hedge_after(self) -> float:
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -29,7 +29,8 @@
 # An upstream stops work at the deadline that it was given; this is longer than any.
 UNREPEATABLE_LINGER_S = 30.0
 
-# A connection idle for longer may have been forgotten by the other end.
+# Where an upstream states no time, a connection idle for longer may have been
+# forgotten by it.
 MAX_IDLE_MS = 8_000.0
 
 # A non-idempotent request can't be repeated after a reset, so that it takes only a
@@ -85,13 +86,19 @@
         return self.connection is not None
 
 
+class _Idle(msgspec.Struct, frozen=True, kw_only=True, eq=False):
+    """An open connection without a call."""
+
+    connection: UpstreamConnection
+    replica: Replica
+    since: Millis
+
+
 class _UpstreamSockets:
     """The connections to one upstream."""
 
     def __init__(self) -> None:
-        self.idle: collections.deque[tuple[UpstreamConnection, Millis]] = (
-            collections.deque()
-        )
+        self.idle: collections.deque[_Idle] = collections.deque()
         self.busy: dict[UpstreamConnection, Call] = {}
         self.connecting = 0
         self.waiting: collections.deque[Call] = collections.deque()
@@ -110,8 +117,10 @@
         clock: Clock,
         get_limit: Callable[[Replica], int],
         on_open: Callable[[], None],
+        on_connected: Callable[[Replica, float], None],
     ) -> None:
         self._clock = clock
+        self._on_connected = on_connected
         self._on_open = on_open
         self._get_limit = get_limit
         self._sockets: dict[UpstreamId, _UpstreamSockets] = {}
@@ -171,11 +180,11 @@
     def get_access(self, replica: Replica) -> Access:
         """Tells whether a call finds a connection, or would have to wait for one."""
         sockets = self._sockets.get(replica.entry.upstream)
-        if sockets is None:
-            return Access.UNCONNECTED
-        if sockets.idle:
+        if sockets is not None and sockets.idle:
             return Access.CONNECTED
-        if sockets.total < self._get_limit(replica):
+        if replica.is_crowded(self._clock.now()):
+            return Access.FULL
+        if sockets is None or sockets.total < self._get_limit(replica):
             return Access.UNCONNECTED
         return Access.FULL
 
@@ -202,7 +211,7 @@
         if sockets is None:
             return
         while sockets.idle:
-            sockets.idle.pop()[0].close()
+            sockets.idle.pop().connection.close()
         if sockets.total == 0 and not sockets.waiting:
             del self._sockets[upstream]
 
@@ -210,11 +219,11 @@
         """Closes connections that were idle for too long to be trusted."""
         for upstream, sockets in list(self._sockets.items()):
             while sockets.idle:
-                connection, since = sockets.idle[0]
-                if now - since <= _get_max_idle_ms(connection):
+                idle = sockets.idle[0]
+                if now - idle.since <= _get_max_idle_ms(idle.connection):
                     break
                 sockets.idle.popleft()
-                connection.close()
+                idle.connection.close()
             if sockets.total == 0 and not sockets.waiting:
                 del self._sockets[upstream]
 
@@ -222,13 +231,13 @@
         self, sockets: _UpstreamSockets, call: Call, now: Millis
     ) -> UpstreamConnection | None:
         while sockets.idle:
-            connection, since = sockets.idle.pop()
-            limit_ms = _get_max_idle_ms(connection)
+            idle = sockets.idle.pop()
+            limit_ms = _get_max_idle_ms(idle.connection)
             if not call.is_repeatable:
                 limit_ms = min(limit_ms, MAX_IDLE_UNREPEATABLE_MS)
-            if connection.is_open and now - since <= limit_ms:
-                return connection
-            connection.close()
+            if idle.connection.is_open and now - idle.since <= limit_ms:
+                return idle.connection
+            idle.connection.close()
         return None
 
     def _open_if_needed(self, replica: Replica, sockets: _UpstreamSockets) -> None:
@@ -247,6 +256,7 @@
     async def _connect(self, replica: Replica, sockets: _UpstreamSockets) -> None:
         loop = asyncio.get_running_loop()
         address = replica.entry.address
+        started_at = self._clock.now()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -263,7 +273,12 @@
             return
         sockets.connecting -= 1
         connection.upstream = replica.entry.upstream
-        replica.note_connected(self._clock.now())
+        if not connection.is_open:
+            # The upstream has as many connections as it accepts.
+            replica.note_reset(self._clock.now())
+            self._fail_waiting(replica, sockets)
+            return
+        self._on_connected(replica, self._clock.now() - started_at)
         self._put_idle(replica, sockets, connection)
 
     def _fail_waiting(self, replica: Replica, sockets: _UpstreamSockets) -> None:
@@ -281,12 +296,11 @@
         sockets: _UpstreamSockets,
         connection: UpstreamConnection,
     ) -> None:
-        if not connection.is_open:
-            return
         if sockets.waiting:
             self._send(sockets, connection, sockets.waiting.popleft())
             return
-        sockets.idle.append((connection, self._clock.now()))
+        idle = _Idle(connection=connection, replica=replica, since=self._clock.now())
+        sockets.idle.append(idle)
 
     def _send(
         self, sockets: _UpstreamSockets, connection: UpstreamConnection, call: Call
@@ -315,9 +329,11 @@
         sockets = self._sockets.get(connection.upstream)
         if sockets is None:
             return
-        for entry in list(sockets.idle):
-            if entry[0] is connection:
-                sockets.idle.remove(entry)
+        for idle in list(sockets.idle):
+            if idle.connection is connection:
+                sockets.idle.remove(idle)
+                if not connection.is_used:
+                    idle.replica.note_reset(self._clock.now())
         call = sockets.busy.pop(connection, None)
         if call is None:
             return
@@ -360,4 +376,4 @@
     if connection.idle_timeout_s is None:
         return MAX_IDLE_MS
     stated_ms = connection.idle_timeout_s * MILLISECONDS_PER_SECOND
-    return min(MAX_IDLE_MS, max(0.0, stated_ms - IDLE_TIMEOUT_MARGIN_MS))
+    return max(0.0, stated_ms - IDLE_TIMEOUT_MARGIN_MS)
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -78,7 +78,10 @@
 
     def _call(self) -> bool:
         core = self._core
-        replica = core.choose_replica(self._service, self._tried)
+        usual_ms = self._latency.get_quantile(USUAL_QUANTILE)
+        replica = core.choose_replica(
+            self._service, usual_ms=usual_ms, tried=self._tried
+        )
         if replica is None:
             return False
         now = core.now
@@ -96,7 +99,7 @@
             data,
             request_id=self._ending.request.request_id,
             is_repeatable=self._route.is_idempotent,
-            usual_ms=self._latency.get_quantile(USUAL_QUANTILE),
+            usual_ms=usual_ms,
             on_end=self._handle_end,
         )
         self._calls.add(call)
--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -36,6 +36,7 @@
         self._request_id: bytes | None = None
         self.is_open = False
         self.is_reusable = True
+        self.is_used = False
         self.idle_timeout_s: float | None = None
         self.upstream = UpstreamId("")
 
@@ -44,6 +45,7 @@
         return self._request_id is not None
 
     def send(self, data: bytes, *, request_id: bytes) -> None:
+        self.is_used = True
         self._request_id = request_id
         self._transport.write(data)
 
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -46,6 +46,11 @@
 # Failures in a row after which an upstream counts as unreachable while it is avoided.
 UNREACHABLE_FAILURES = 2
 
+# An upstream that resets new connections has as many as it accepts. No other one is
+# opened for this time, doubled with each further reset.
+FIRST_CROWDED_MS = 1_000.0
+MAX_CROWDED_MS = 8_000.0
+
 # A call that waits this many times as long as usual makes its upstream look paused.
 SILENCE_FACTOR = 2.5
 
@@ -95,6 +100,8 @@
         self._cold_tokens = 0.0
         self._cold_tokens_at: Millis | None = None
         self._avoided_until = Millis(float("-inf"))
+        self._resets_in_row = 0
+        self._crowded_until = Millis(float("-inf"))
         self._load: ReportedLoad | None = None
         self._load_at = seen_at
         self._own_in_report = 0
@@ -145,6 +152,16 @@
         """Whether its connections or calls ended without an answer again and again."""
         return self._failures_in_row >= UNREACHABLE_FAILURES and self.is_avoided(now)
 
+    def is_crowded(self, now: Millis) -> bool:
+        """Whether it accepts no further connection for now."""
+        return now < self._crowded_until
+
+    def note_reset(self, now: Millis) -> None:
+        """Records that it reset a new connection before any call."""
+        crowded_ms = FIRST_CROWDED_MS * 2**self._resets_in_row
+        self._crowded_until = Millis(now + min(MAX_CROWDED_MS, crowded_ms))
+        self._resets_in_row += 1
+
     def note_connected(self, now: Millis) -> None:
         """Records that a connection was made after failures."""
         self._failures_in_row = 0
@@ -216,6 +233,7 @@
     def _note_success(self, now: Millis) -> None:
         self.heard_at = now
         self._failures_in_row = 0
+        self._resets_in_row = 0
         self._avoided_until = now
         self._failing = self.get_failing(now) * (1 - SAMPLE_WEIGHT)
         self._failing_at = now
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -16,11 +16,17 @@
 # this order.
 OTHER_ZONE_FACTOR = 1.3
 COLD_FACTOR = 1.6
-UNCONNECTED_FACTOR = 1.2
 FULL_FACTOR = 10.0
 SILENT_FACTOR = 20.0
 AVOIDED_FACTOR = 100.0
 
+# A new connection is priced and may hold a slot, so that it costs at least this part of
+# a call; opening it takes time besides.
+MIN_CONNECT_PART = 0.2
+
+# The weight of one connection in the moving average of the time that opening one takes.
+CONNECT_WEIGHT = 0.2
+
 # Choices differ by this part at random, so that instances do not all choose alike.
 RANDOM_PART = 0.1
 
@@ -40,13 +46,6 @@
     FULL = "full"
 
 
-_ACCESS_FACTORS = {
-    Access.CONNECTED: 1.0,
-    Access.UNCONNECTED: UNCONNECTED_FACTOR,
-    Access.FULL: FULL_FACTOR,
-}
-
-
 class Replicas:
     """All upstreams that may get work, by service."""
 
@@ -58,6 +57,7 @@
         # Calls a second that this instance may make to a cold upstream of a service;
         # services that are not named have no limit of their own.
         self.cold_rates: dict[ServiceId, float] = {}
+        self._connect_ms: dict[ServiceId, float] = {}
 
     def update(
         self,
@@ -100,26 +100,39 @@
         service: ServiceId,
         *,
         now: Millis,
+        usual_ms: float,
         tried: Collection[UpstreamId] = (),
         get_access: Callable[[Replica], Access] = lambda replica: Access.CONNECTED,
     ) -> Replica | None:
         """Returns the upstream that is expected to answer first, or None.
 
-        ``tried`` upstreams are left out. Those to which no further connection may be
-        opened come last, as a call would have to wait for another one.
+        ``usual_ms`` is the usual time of a call. ``tried`` upstreams are left out.
+        Those to which no further connection may be opened come last, as a call would
+        have to wait for another one.
         """
         best: Replica | None = None
         best_cost = float("inf")
+        connect_part = self._get_connect_part(service, usual_ms)
         for upstream, replica in self._by_service.get(service, {}).items():
             if upstream in tried or not self._may_call(replica, now):
                 continue
             cost = self._estimate_cost(replica, now)
-            cost *= _ACCESS_FACTORS[get_access(replica)]
+            match get_access(replica):
+                case Access.UNCONNECTED:
+                    cost += connect_part
+                case Access.FULL:
+                    cost *= FULL_FACTOR
             cost *= 1.0 + RANDOM_PART * self._random.random()
             if cost < best_cost:
                 best, best_cost = replica, cost
         return best
 
+    def note_connected(self, service: ServiceId, *, took_ms: float) -> None:
+        """Learns how long opening a connection to an upstream of a service takes."""
+        known_ms = self._connect_ms.get(service, took_ms)
+        known_ms += CONNECT_WEIGHT * (took_ms - known_ms)
+        self._connect_ms[service] = known_ms
+
     def list_slow_calls(self, now: Millis) -> tuple[SlowCall, ...]:
         """Returns the newest slow calls, for other instances."""
         slow = [
@@ -156,6 +169,11 @@
                 )
             )
 
+    def _get_connect_part(self, service: ServiceId, usual_ms: float) -> float:
+        """Returns the time of opening a connection as a part of a usual call."""
+        connect_ms = self._connect_ms.get(service, 0.0)
+        return max(MIN_CONNECT_PART, connect_ms / max(1.0, usual_ms))
+
     def _may_call(self, replica: Replica, now: Millis) -> bool:
         rate = self.cold_rates.get(replica.entry.service)
         if rate is None or not replica.is_cold(now):
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -42,6 +42,7 @@
         self.port = 0
         self._server: asyncio.AbstractServer | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self.resets_new_connections = False
 
     async def start(self, port: int = 0) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, port)
@@ -60,6 +61,9 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.resets_new_connections:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while True:
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+from skylarkcart.clock import Millis
 from tests.gateway.standins import API_KEY, Caller, build_configuration
 
 
@@ -85,6 +86,30 @@
         assert (await caller.send("/search/x", "again"))[0] == 200
 
 
+async def test_instance_is_ready_after_a_partition_once_all_routes_are_served(
+    deployment,
+) -> None:
+    """The first searches after a partition were refused at a ready instance."""
+    core = deployment.instance._core
+    now = core.now
+    by_service = {
+        service: core.replicas.list_service(service)
+        for service in ("shard-1", "shard-2", "desk")
+    }
+    for replica in (*by_service["shard-1"], *by_service["shard-2"]):
+        replica.note_unconnected(now)
+        replica.note_unconnected(now)
+    assert core.may_serve_most(now)
+    for replica in by_service["desk"]:
+        replica.note_unconnected(now)
+        replica.note_unconnected(now)
+    assert not core.may_serve_most(now)
+    by_service["desk"][0].note_connected(now)
+    assert not core.may_serve_most(Millis(now + 100))
+    by_service["shard-1"][0].note_connected(now)
+    assert core.may_serve_most(Millis(now + 100))
+
+
 async def test_routes_without_upstreams_do_not_turn_callers_away(deployment) -> None:
     """Operators add routes before their upstreams; instances once were not ready."""
     document = build_configuration(2)
@@ -189,3 +214,48 @@
         assert status == 200
         await drain
         assert await idle.reader.read() == b""
+
+
+async def test_call_goes_elsewhere_if_its_new_connection_is_reset(
+    deployment, monkeypatch
+) -> None:
+    """An upstream at its cap resets new connections; the call waited to the end."""
+    loop = asyncio.get_running_loop()
+    create_connection = loop.create_connection
+    crowded_port = deployment.upstreams["d1"].port
+
+    async def connect(factory, host, port):
+        if port != crowded_port:
+            return await create_connection(factory, host, port)
+        protocol = factory()
+        protocol.connection_made(asyncio.Transport())
+        protocol.connection_lost(ConnectionResetError())
+        return None, protocol
+
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core._opened_ahead == core._used_services)
+    monkeypatch.setattr(loop, "create_connection", connect)
+    for upstream in core.replicas.replicas:
+        core.pool.drop(upstream)
+    core.replicas.replicas["d2"].note_unconnected(core.now)
+    async with deployment.call() as caller, asyncio.timeout(1):
+        assert (await caller.send("/file/x", "r1"))[0] == 200
+    assert deployment.list_runs("r1") == ["d2"]
+
+
+async def test_connections_are_opened_again_only_where_requests_come(
+    deployment,
+) -> None:
+    """Instances without callers opened a connection to each service every 9 seconds."""
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core._opened_ahead == core._used_services)
+    async with deployment.call() as caller:
+        assert (await caller.send("/read/x", "r1"))[0] == 200
+    for upstream in core.replicas.replicas:
+        core.pool.drop(upstream)
+    core.open_ahead()
+    desk, shard = (
+        any(map(core.pool.has_connection, core.replicas.list_service(service)))
+        for service in ("desk", "shard-1")
+    )
+    assert desk and not shard
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -39,7 +39,7 @@
 def count_choices(replicas: Replicas, now: float, times: int = 100) -> dict[str, int]:
     counts: dict[str, int] = {}
     for _ in range(times):
-        chosen = replicas.choose(SERVICE, now=Millis(now))
+        chosen = replicas.choose(SERVICE, now=Millis(now), usual_ms=USUAL_MS)
         counts[chosen.entry.upstream] = counts.get(chosen.entry.upstream, 0) + 1
     return counts
 
@@ -167,7 +167,7 @@
         replicas.cold_rates = {SERVICE: per_s / len(fleet)}
     for now in range(0, 8_000, 2):
         for replicas in fleet:
-            chosen = replicas.choose(SERVICE, now=Millis(now))
+            chosen = replicas.choose(SERVICE, now=Millis(now), usual_ms=USUAL_MS)
             if chosen is not None:
                 chosen.begin_call(now, now=Millis(now), usual_ms=USUAL_MS)
                 chosen.end_call(now, CallEnd.ANSWERED, now=Millis(now + 1))
@@ -200,7 +200,7 @@
         for entry in (draining, closed)
     }
     replicas.update(known, frozenset({ZoneId("zone-b")}))
-    assert replicas.choose(SERVICE, now=Millis(0)) is None
+    assert replicas.choose(SERVICE, now=Millis(0), usual_ms=USUAL_MS) is None
 
 
 def test_restart_under_the_same_id_forgets_what_was_learned() -> None:
@@ -218,6 +218,7 @@
     chosen = replicas.choose(
         SERVICE,
         now=Millis(0),
+        usual_ms=USUAL_MS,
         tried=[UpstreamId("i-1")],
         get_access=lambda replica: (
             Access.FULL if replica.entry.upstream == "i-2" else Access.CONNECTED
@@ -226,9 +227,55 @@
     assert chosen.entry.upstream == "i-3"
 
 
+def choose_often(replicas: Replicas, connected: str) -> set[str]:
+    """Returns the upstreams that are chosen where one of them has a connection."""
+    return {
+        replicas.choose(
+            SERVICE,
+            now=Millis(400),
+            usual_ms=USUAL_MS,
+            get_access=lambda replica: (
+                Access.CONNECTED
+                if replica.entry.upstream == connected
+                else Access.UNCONNECTED
+            ),
+        ).entry.upstream
+        for _ in range(100)
+    }
+
+
+def test_connection_that_takes_long_to_open_is_opened_only_to_a_faster_upstream() -> (
+    None
+):
+    """A third of all calls opened a connection, which took as long as the call."""
+    replicas = build_replicas(build_entry(1), build_entry(2))
+    somewhat_slow = replicas.replicas[UpstreamId("i-1")]
+    for start in range(0, 300, 100):
+        call(somewhat_slow, start, start + 1.5 * USUAL_MS)
+    assert "i-2" in choose_often(replicas, "i-1")
+    for _ in range(20):
+        replicas.note_connected(SERVICE, took_ms=USUAL_MS)
+    assert choose_often(replicas, "i-1") == {"i-1"}
+    for start in range(300, 600, 100):
+        call(somewhat_slow, start, start + 4 * USUAL_MS)
+    assert "i-2" in choose_often(replicas, "i-1")
+
+
 def test_latency_has_a_value_before_the_first_call() -> None:
     latency = RouteLatency(initial_ms=12.0)
     assert latency.get_quantile(0.9) == 12.0
     for sample in range(1, 101):
         latency.add(float(sample))
     assert 45 <= latency.get_quantile(0.5) <= 51
+
+
+def test_upstream_that_resets_new_connections_is_crowded_for_a_while() -> None:
+    """Instances opened a connection four times a second to an upstream at its cap."""
+    replica = Replica(entry=build_entry(1), seen_at=Millis(0))
+    replica.note_reset(Millis(0))
+    assert replica.is_crowded(Millis(900)) and not replica.is_crowded(Millis(1_100))
+    replica.note_reset(Millis(1_100))
+    assert replica.is_crowded(Millis(3_000)) and not replica.is_crowded(Millis(3_200))
+    call(replica, 3_300, 3_310)
+    replica.note_reset(Millis(4_000))
+    assert not replica.is_crowded(Millis(5_100))
