Count the round trip of a new connection for the request that opened it

Change: a request that arrives within 5 ms of its connection has spent a round trip; only such requests teach it, with 2 ms at least.

--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -48,7 +48,12 @@
 
 
 def admit(
-    core: Core, request: CallerRequest, *, arrived_at: Millis, now: Millis
+    core: Core,
+    request: CallerRequest,
+    *,
+    arrived_at: Millis,
+    now: Millis,
+    is_on_new_connection: bool,
 ) -> Admitted | Refusal:
     """Finds the route and the account, and takes the account's token."""
     table = core.table
@@ -66,6 +71,7 @@
         route,
         arrived_at=arrived_at,
         margin_ms=core.answer_delays.get_margin_ms(),
+        is_on_new_connection=is_on_new_connection,
     )
     if not table.needs_key(route):
         return Admitted(route=route, account=None, times=times)
--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -15,6 +15,9 @@
 from skylarkcart.platform._messages import decode_request, encode_refusal
 from skylarkcart.published import CallerLimits
 
+# A caller that opens a connection for a request sends it as soon as it is open.
+NEW_CONNECTION_MS = 5.0
+
 # Requests that a caller sends before earlier ones are answered.
 MAX_PIPELINED = 16
 
@@ -66,12 +69,17 @@
         # An unreadable request came after others; nothing more is read.
         self._is_rejecting = False
         self._active_at = service.clock.now()
+        self._opened_at = self._active_at
         self._begin_message()
 
     @property
     def is_idle(self) -> bool:
         return not self._is_handling and not self._is_reading and not self._queue
 
+    def is_new(self, arrived_at: Millis) -> bool:
+        """Whether the connection was opened for a request that arrived at a moment."""
+        return arrived_at - self._opened_at <= NEW_CONNECTION_MS
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
 
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -41,7 +41,13 @@
         ending = Ending(
             core=core, connection=connection, request=request, arrived_at=arrived_at
         )
-        admission = admit(core, request, arrived_at=arrived_at, now=core.now)
+        admission = admit(
+            core,
+            request,
+            arrived_at=arrived_at,
+            now=core.now,
+            is_on_new_connection=connection.is_new(arrived_at),
+        )
         if isinstance(admission, Refusal):
             ending.refuse(
                 admission.status,
--- a/src/skylarkcart/gateway/_timing.py
+++ b/src/skylarkcart/gateway/_timing.py
@@ -37,10 +37,12 @@
 # After so many further requests the time is determined again.
 MAX_KEPT_REQUESTS = 16
 
-# Times spent before a request from which the round trip is learned, and the longest
-# that a new connection takes; whoever spent more has made an attempt before.
+# Times spent on connections from which the round trip is learned. Callers state whole
+# milliseconds, so that less than two may be none; whoever spent more than the longest
+# has made an attempt before.
 LEARNED_ROUND_TRIPS = 64
 MIN_ROUND_TRIPS = 3
+MIN_CONNECTING_MS = 2.0
 MAX_CONNECTING_MS = 50.0
 
 # A request that returns after a refusal has spent at least the round trips of an answer
@@ -93,12 +95,13 @@
 class CallerTimes:
     """Learns from the time that callers have left what they have spent before.
 
-    Most callers of a route begin with the same time. One with less has spent some on
-    opening its connection, which takes a round trip, or on an earlier attempt.
+    Most callers of a route begin with the same time. One that opens a connection spends
+    a round trip on it, and one that made an attempt before has spent more.
     """
 
     def __init__(self) -> None:
-        self._begun_with: dict[str, _BegunWith] = {}
+        self._begun_with_kept: dict[str, _BegunWith] = {}
+        self._begun_with_new: dict[str, _BegunWith] = {}
         self._round_trips: collections.deque[float] = collections.deque(
             maxlen=LEARNED_ROUND_TRIPS
         )
@@ -111,6 +114,7 @@
         *,
         arrived_at: Millis,
         margin_ms: float,
+        is_on_new_connection: bool,
     ) -> RequestTimes:
         """Returns the due times of a request that arrived at a moment.
 
@@ -120,12 +124,15 @@
         spent_ms = 0.0
         if request.time_left_ms is not None:
             limit_ms = min(limit_ms, request.time_left_ms)
-            spent_ms = self._learn_spent(route.name, request.time_left_ms)
+            if is_on_new_connection:
+                spent_ms = self._learn_from_new(route.name, request.time_left_ms)
+            else:
+                spent_ms = self._learn_from_kept(route.name, request.time_left_ms)
         longest_ms = RETURNING_ROUND_TRIPS * self.round_trip_ms + ANSWER_MARGIN_MS
         is_returning = spent_ms > longest_ms
         if is_returning:
-            # Its caller counts a new attempt after a refusal anew.
-            spent_ms = 0.0
+            # Its caller counts a new attempt after a refusal anew, from the connection.
+            spent_ms = self.round_trip_ms if is_on_new_connection else 0.0
         target_ms = route.target_latency_ms or limit_ms
         in_time_ms = target_ms - spent_ms - self.round_trip_ms - margin_ms
         return RequestTimes(
@@ -134,13 +141,19 @@
             is_returning=is_returning,
         )
 
-    def _learn_spent(self, route: str, time_left_ms: float) -> float:
-        begun_with = self._begun_with.setdefault(route, _BegunWith())
-        usual_ms = begun_with.learn(time_left_ms)
-        if usual_ms is None:
-            return 0.0
-        spent_ms = max(0.0, usual_ms - time_left_ms)
-        if 0 < spent_ms <= MAX_CONNECTING_MS:
+    def _learn_from_kept(self, route: str, time_left_ms: float) -> float:
+        begun_with = self._begun_with_kept.setdefault(route, _BegunWith())
+        begun_with.learn(time_left_ms)
+        return begun_with.get_spent(time_left_ms)
+
+    def _learn_from_new(self, route: str, time_left_ms: float) -> float:
+        begun_with = self._begun_with_new.setdefault(route, _BegunWith())
+        begun_with.learn(time_left_ms)
+        kept = self._begun_with_kept.get(route)
+        if kept is None or not kept.is_known:
+            return self.round_trip_ms + begun_with.get_spent(time_left_ms)
+        spent_ms = kept.get_spent(time_left_ms)
+        if MIN_CONNECTING_MS <= spent_ms <= MAX_CONNECTING_MS:
             self._learn_round_trip(spent_ms)
         return spent_ms
 
@@ -153,7 +166,7 @@
 
 
 class _BegunWith:
-    """The time that the callers of one route begin with."""
+    """The time with which first attempts on a route arrive."""
 
     def __init__(self) -> None:
         self._samples: collections.deque[float] = collections.deque(
@@ -162,14 +175,23 @@
         self._usual_ms: float | None = None
         self._until_found = MIN_REQUESTS
 
-    def learn(self, time_left_ms: float) -> float | None:
-        """Adds a request and returns the usual time, or None if it is unknown yet."""
+    @property
+    def is_known(self) -> bool:
+        return self._usual_ms is not None
+
+    def learn(self, time_left_ms: float) -> None:
+        """Adds the time that a request arrived with."""
         self._samples.append(time_left_ms)
         self._until_found -= 1
         if self._until_found <= 0:
             self._until_found = min(len(self._samples) // 2, MAX_KEPT_REQUESTS)
             self._usual_ms = _find_usual(self._samples)
-        return self._usual_ms
+
+    def get_spent(self, time_left_ms: float) -> float:
+        """Returns how much less than usual is left; nothing while that is unknown."""
+        return (
+            0.0 if self._usual_ms is None else max(0.0, self._usual_ms - time_left_ms)
+        )
 
 
 def _find_usual(samples: Collection[float]) -> float:
