Call another upstream instead of one that is still to be connected

Change: a call that is not sent yet is moved, and one whose connection was refused is repeated, outside the budget.

--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -163,8 +163,9 @@
         )
         if part.is_answered or part.waiting:
             return
-        if self._execution.may_call(part) and self._core.try_extra_call(
-            part.shard, ExtraCallKind.RETRY
+        if self._execution.may_call(part) and (
+            not result.end.reached_upstream
+            or self._core.try_extra_call(part.shard, ExtraCallKind.RETRY)
         ):
             if self._call(part):
                 self._retries += 1
@@ -199,14 +200,25 @@
             self._execution.answered_count
         ):
             return
+        unsent = {part: call for call, part in self._calls.items() if not call.is_sent}
         for part in self._execution.list_hedges(now, after_ms=after_ms):
             replica = self._choose_replica(part)
             if replica is None or replica.is_avoided(now):
                 continue
-            if self._core.try_extra_call(part.shard, ExtraCallKind.HEDGE):
+            if part in unsent:
+                self._move(part, unsent[part], replica)
+            elif self._core.try_extra_call(part.shard, ExtraCallKind.HEDGE):
                 self._send(part, replica)
                 self._hedges += 1
 
+    def _move(self, part: Part, call: Call, replica: Replica) -> None:
+        """Calls another upstream instead of one that is still to be connected."""
+        del self._calls[call]
+        self._core.pool.abandon(call)
+        part.end_unrun(call.upstream)
+        self._send(part, replica)
+        self._retries += 1
+
     def _get_hedge_after(self) -> float:
         free = self._core.get_free_extra_part(self._route.gathering.shards[0])
         quantile = LATE_HEDGE_QUANTILE + free * (
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -124,15 +124,18 @@
             self._verdict = result.verdict
             if _may_pass_on(result.answer):
                 self._failure = result.answer
-        self._handle_failure()
+        self._handle_failure(result.end)
 
-    def _handle_failure(self) -> None:
+    def _handle_failure(self, end: CallEnd) -> None:
         may_repeat = self._route.is_idempotent or self._verdict.permits_retry
         if (
             may_repeat
             and self._runs < self._route.max_attempts
             and self._core.now < self._times.give_up_at
-            and self._core.try_extra_call(self._service, ExtraCallKind.RETRY)
+            and (
+                not end.reached_upstream
+                or self._core.try_extra_call(self._service, ExtraCallKind.RETRY)
+            )
             and self._call()
         ):
             return
@@ -172,7 +175,7 @@
     def _schedule(self) -> None:
         due = self._times.give_up_at
         now = self._core.now
-        if self._may_hedge():
+        if self._may_move() or self._may_hedge():
             hedge_at = self._last_call_at + self._get_hedge_after()
             due = min(due, max(hedge_at, now + HEDGE_RETRY_MS))
         self._start_timer(due, now)
@@ -184,11 +187,24 @@
         if now >= self._times.give_up_at:
             self._time_out()
             return
-        if self._may_hedge() and now >= self._last_call_at + self._get_hedge_after():
-            if self._core.try_extra_call(self._service, ExtraCallKind.HEDGE):
-                self._call()
+        if now >= self._last_call_at + self._get_hedge_after():
+            self._call_another()
         self._schedule()
 
+    def _call_another(self) -> None:
+        """Calls a second upstream beside one that is late, or instead of it."""
+        if self._may_move():
+            (unsent,) = self._calls
+            if self._call():
+                self._calls.discard(unsent)
+                self._core.pool.abandon(unsent)
+                self._runs -= 1
+                self._ends.append(f"{unsent.upstream}: unsent")
+        elif self._may_hedge() and self._core.try_extra_call(
+            self._service, ExtraCallKind.HEDGE
+        ):
+            self._call()
+
     def _time_out(self) -> None:
         is_sent = any(call.is_sent for call in self._calls)
         verdict = self._verdict
@@ -203,6 +219,10 @@
             ends=self._ends,
         )
 
+    def _may_move(self) -> bool:
+        """Whether the only call still waits for a connection, so that it was not run."""
+        return len(self._calls) == 1 and not any(call.is_sent for call in self._calls)
+
     def _may_hedge(self) -> bool:
         return (
             self._route.is_idempotent
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -67,6 +67,11 @@
     SILENT = "silent"
     ABANDONED = "abandoned"
 
+    @property
+    def reached_upstream(self) -> bool:
+        """Whether the upstream may have got the request, so that it counts there."""
+        return self is not CallEnd.REFUSED_CONNECTION
+
 
 class SlowSample(msgspec.Struct, frozen=True, kw_only=True):
     """A call that took much longer than usual, by this instance's clock."""
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+import msgspec
+
 from skylarkcart.clock import Millis
 from tests.gateway.standins import API_KEY, Caller, build_configuration
 
@@ -216,6 +218,41 @@
         assert await idle.reader.read() == b""
 
 
+async def test_call_that_still_waits_for_a_connection_goes_elsewhere(
+    deployment, monkeypatch
+) -> None:
+    """Behind a silent partition, searches spent their extra calls on unsent ones."""
+    loop = asyncio.get_running_loop()
+    create_connection = loop.create_connection
+    cut_off = {deployment.upstreams[name].port for name in ("a1", "b1", "d1")}
+
+    async def connect(factory, host, port):
+        if port in cut_off:
+            await asyncio.sleep(5)
+        return await create_connection(factory, host, port)
+
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core._opened_ahead == core._used_services)
+    bounds = msgspec.structs.replace(
+        core.settings.bounds, extra_calls_ratio=0.0, extra_calls_slack=0.0
+    )
+    core.settings = msgspec.structs.replace(core.settings, bounds=bounds)
+    core._extra_calls.clear()
+    monkeypatch.setattr(loop, "create_connection", connect)
+    async with deployment.call() as caller:
+        for number in range(3):
+            for upstream in core.replicas.replicas:
+                core.pool.drop(upstream)
+            for target in ("search", "read", "file"):
+                request = f"{target}-{number}"
+                async with asyncio.timeout(0.9):
+                    answer = await caller.send(f"/{target}/x", request)
+                assert answer[0] == 200
+                assert answer[1].get("missing-parts", "0") == "0"
+                expected = ["a2", "b2"] if target == "search" else ["d2"]
+                assert deployment.list_runs(request) == expected
+
+
 async def test_call_goes_elsewhere_if_its_new_connection_is_reset(
     deployment, monkeypatch
 ) -> None:
