Find a zone cut off from a few silent upstreams, and let callers go elsewhere

Each instance found each upstream unreachable on its own, tried it again with live requests, was ready until then, and kept callers' connections open, on which they came back. Change: four silent upstreams of a zone without an answer between them mean that the zone is cut off; instances tell their own zone; an unreachable upstream is tried by a connection instead of a request; answers close their connection while other instances serve better; Retry-After is the time until the balancer has noticed.

--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -74,6 +74,7 @@
     reaches_store: bool
     spending: Mapping[AccountId, Spending]
     slow_calls: tuple[SlowCall, ...] = ()
+    lost_zones: tuple[ZoneId, ...] = ()
 
 
 class Fleet:
@@ -170,6 +171,7 @@
             reaches_store=own.reaches_store,
             spending=dict(own.spending),
             slow_calls=own.slow_calls,
+            lost_zones=own.lost_zones,
         )
         return Report(
             sender=sender,
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -12,7 +12,8 @@
     """An instance as it described itself ``age_ms`` before the report was sent.
 
     ``sequence`` grows with each description within an incarnation. ``reaches_store`` is
-    False if its last call to the store failed.
+    False if its last call to the store failed. ``lost_zones`` are those whose upstreams
+    it can't reach.
     """
 
     instance: InstanceId
@@ -26,6 +27,7 @@
     reaches_store: bool
     spending: dict[AccountId, Spending]
     slow_calls: tuple[SlowCall, ...] = ()
+    lost_zones: tuple[ZoneId, ...] = ()
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -79,7 +79,7 @@
         return Refusal(
             status=503,
             reason="keys_not_confirmed",
-            retry_after_ms=ELSEWHERE_RETRY_AFTER_MS,
+            retry_after_ms=core.get_retry_after_ms(now),
         )
     account = table.find_account(request.key)
     if account is None:
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -42,6 +42,15 @@
 # come here before.
 REGAINING_MS = 500.0
 
+# The balancer asks for readiness once a second and takes an instance out after two
+# misses.
+BALANCER_NOTICE_MS = 2_200.0
+
+# When a caller should come back that may be served elsewhere: at once, or while the
+# balancer still leads it here.
+MIN_RETRY_AFTER_MS = 20.0
+UNAVAILABLE_RETRY_AFTER_MS = 200.0
+
 # Connections opened ahead in one sweep, so that requests are not held up.
 MAX_OPENED_AHEAD = 16
 
@@ -102,6 +111,8 @@
         self._used_services: frozenset[ServiceId] = frozenset()
         self._opened_ahead: set[ServiceId] = set()
         self._served_few_at = Millis(float("-inf"))
+        # Since when callers are served better by other instances, None if they are not.
+        self.turns_away_since: Millis | None = None
         self._extra_calls: dict[ServiceId, ExtraCalls] = {}
         self._latencies: dict[str, RouteLatency] = {}
 
@@ -115,6 +126,25 @@
             return DEFAULT_LIMITS
         return self.table.configuration.limits
 
+    @property
+    def closes_connections(self) -> bool:
+        """Whether answers close their connection, so that callers open a new one.
+
+        The balancer leads that to an instance that is ready.
+        """
+        return self.turns_away_since is not None or self.lifecycle.closes_connections
+
+    def get_retry_after_ms(self, now: Millis) -> float:
+        """Returns when a caller that can't be served here should come back.
+
+        Another instance may reach what this one can't. Once the balancer has noticed
+        that this one is not ready, a new connection leads there at once.
+        """
+        if self.turns_away_since is None:
+            return UNAVAILABLE_RETRY_AFTER_MS
+        noticed_in_ms = self.turns_away_since + BALANCER_NOTICE_MS - now
+        return max(MIN_RETRY_AFTER_MS, noticed_in_ms)
+
     def trusts_keys(self, now: Millis) -> bool:
         """Whether a key's withdrawal would be known here within the bound."""
         limit_ms = self.settings.bounds.withdrawal_ms - CONFIRMATION_MARGIN_MS
@@ -215,13 +245,18 @@
 
     def find_unready_reason(self, now: Millis) -> str | None:
         """Returns why callers should not come here, or None if they should."""
+        reason = None
         if not self.lifecycle.is_ready:
             return self.lifecycle.state.value
         if not self.trusts_keys(now):
-            return "keys_not_confirmed"
-        if not self.may_serve_most(now):
-            return "upstreams_unreachable"
-        return None
+            reason = "keys_not_confirmed"
+        elif not self.may_serve_most(now):
+            reason = "upstreams_unreachable"
+        if reason is None:
+            self.turns_away_since = None
+        elif self.turns_away_since is None:
+            self.turns_away_since = now
+        return reason
 
     def may_serve_most(self, now: Millis) -> bool:
         """Whether most routes may be served, so that callers should come here.
@@ -243,13 +278,9 @@
         return all(served) or now - self._served_few_at > REGAINING_MS
 
     def probe_unreachable(self) -> None:
-        """Tries one connection for each service that can't be reached."""
-        now = self.now
-        for service in self._used_services:
-            if not self.replicas.is_reachable(service, now):
-                replicas = self.replicas.list_service(service)
-                if replicas:
-                    self.pool.probe(self.random.choice(replicas))
+        """Tries connections to upstreams that could not be reached."""
+        for replica in self.replicas.list_probes(self.now):
+            self.pool.probe(replica)
 
     def open_ahead(self) -> None:
         """Opens a connection for services without any, a few at a time.
--- a/src/skylarkcart/gateway/_ending.py
+++ b/src/skylarkcart/gateway/_ending.py
@@ -51,7 +51,7 @@
 
     @property
     def closes(self) -> bool:
-        return self._core.lifecycle.closes_connections
+        return self._core.closes_connections
 
     def answer(self, data: bytes, outcome: Outcome, **facts: object) -> None:
         """Sends an answer that carries an upstream's result."""
--- a/src/skylarkcart/gateway/_exchange.py
+++ b/src/skylarkcart/gateway/_exchange.py
@@ -17,10 +17,6 @@
 # The usual latency of a route's calls: half of them take no longer.
 USUAL_QUANTILE = 0.5
 
-# When a caller is told to come back after no upstream could take its request. Another
-# instance may reach what this one can't.
-UNAVAILABLE_RETRY_AFTER_MS = 200.0
-
 
 class UpstreamExchange(abc.ABC):
     """A request whose calls to upstreams are under way."""
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -13,11 +13,7 @@
     Ending,
     Outcome,
 )
-from skylarkcart.gateway._exchange import (
-    UNAVAILABLE_RETRY_AFTER_MS,
-    USUAL_QUANTILE,
-    UpstreamExchange,
-)
+from skylarkcart.gateway._exchange import USUAL_QUANTILE, UpstreamExchange
 from skylarkcart.gateway._pool import Call, CallResult
 from skylarkcart.gateway._timing import RequestTimes
 from skylarkcart.platform._messages import encode_call, encode_gathered
@@ -71,7 +67,7 @@
                 STATUS_UNAVAILABLE,
                 "too_few_shards",
                 verdict=RunVerdict.NOT_RUN,
-                retry_after_ms=UNAVAILABLE_RETRY_AFTER_MS,
+                retry_after_ms=self._core.get_retry_after_ms(self._core.now),
                 shards=len(self._execution.parts),
             )
             return
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -22,6 +22,9 @@
 # A transfer of the whole published state between two instances.
 TRANSFER_TIMEOUT_S = 1.0
 
+# Older descriptions say nothing of which zones can be reached now.
+LOST_ZONES_AGE_MS = 800.0
+
 # Published state arrives from the store's readers; a peer is asked only if it is ahead
 # for this long.
 TRANSFER_PAUSE_S = 0.05
@@ -89,6 +92,7 @@
             reaches_store=core.reaches_store,
             spending=core.quotas.build_report(now),
             slow_calls=core.replicas.list_slow_calls(now),
+            lost_zones=core.replicas.list_lost_zones(),
         )
 
     def _hear(self, report: Report) -> None:
@@ -99,6 +103,8 @@
             core.replicas.hear_slow_calls(
                 member.slow_calls, age_ms=member.age_ms, now=now
             )
+            if member.zone == core.settings.zone and member.age_ms <= LOST_ZONES_AGE_MS:
+                core.replicas.hear_lost_zones(member.lost_zones, now=now)
         revision = report.sender.revision
         if revision > core.registry.revision:
             self.ahead.set()
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -13,11 +13,7 @@
     Ending,
     Outcome,
 )
-from skylarkcart.gateway._exchange import (
-    UNAVAILABLE_RETRY_AFTER_MS,
-    USUAL_QUANTILE,
-    UpstreamExchange,
-)
+from skylarkcart.gateway._exchange import USUAL_QUANTILE, UpstreamExchange
 from skylarkcart.gateway._pool import Call, CallResult
 from skylarkcart.gateway._timing import RequestTimes
 from skylarkcart.platform._messages import encode_call, encode_relayed
@@ -167,7 +163,7 @@
             STATUS_UNAVAILABLE,
             reason,
             verdict=RunVerdict.NOT_RUN,
-            retry_after_ms=UNAVAILABLE_RETRY_AFTER_MS,
+            retry_after_ms=self._core.get_retry_after_ms(self._core.now),
             service=self._service,
             ends=self._ends,
         )
@@ -220,8 +216,8 @@
         )
 
     def _may_move(self) -> bool:
-        """Whether the only call still waits for a connection, so that it was not run."""
-        return len(self._calls) == 1 and not any(call.is_sent for call in self._calls)
+        """Whether the only call still waits for a connection."""
+        return len(self._calls) == 1 and not next(iter(self._calls)).is_sent
 
     def _may_hedge(self) -> bool:
         return (
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -25,7 +25,7 @@
         return self._core.limits
 
     def closes_connections(self) -> bool:
-        return self._core.lifecycle.closes_connections
+        return self._core.closes_connections
 
     def note_rejected(self, reason: str, status: int) -> None:
         """Records a request that was refused before it was read whole."""
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -11,6 +11,7 @@
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
 from skylarkcart.published import UpstreamEntry
+from skylarkcart.replicas._zone_reach import ZoneReach
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -43,7 +44,7 @@
 FIRST_AVOIDANCE_MS = 200.0
 MAX_AVOIDANCE_MS = 3_000.0
 
-# Failures in a row after which an upstream counts as unreachable while it is avoided.
+# Failures in a row after which an upstream counts as unreachable.
 UNREACHABLE_FAILURES = 2
 
 # An upstream that resets new connections has as many as it accepts. No other one is
@@ -87,8 +88,15 @@
     ``slowness`` is the latency of its calls relative to the usual one of their route.
     """
 
-    def __init__(self, *, entry: UpstreamEntry, seen_at: Millis) -> None:
+    def __init__(
+        self,
+        *,
+        entry: UpstreamEntry,
+        seen_at: Millis,
+        zone_reach: ZoneReach | None = None,
+    ) -> None:
         self.entry = entry
+        self._zone_reach = zone_reach or ZoneReach()
         self.seen_at = seen_at
         self.in_flight: dict[int, tuple[Millis, float]] = {}
         self.heard_at = Millis(float("-inf"))
@@ -150,12 +158,24 @@
             self._note_failure(end, now)
 
     def is_avoided(self, now: Millis) -> bool:
-        """Whether it failed just before and has not had its time to recover."""
-        return now < self._avoided_until
+        """Whether it failed just before, or can't be reached."""
+        return now < self._avoided_until or self.is_unreachable(now)
 
     def is_unreachable(self, now: Millis) -> bool:
-        """Whether its connections or calls ended without an answer again and again."""
-        return self._failures_in_row >= UNREACHABLE_FAILURES and self.is_avoided(now)
+        """Whether its connections or calls ended without an answer again and again.
+
+        So it stays until a connection is made, since a request that tries it would
+        probably fail.
+        """
+        return self._is_lost or self._zone_reach.is_unreachable(now)
+
+    def needs_probe(self, now: Millis) -> bool:
+        """Whether it is time to find out if connections are possible again."""
+        return self._is_lost and now >= self._avoided_until
+
+    @property
+    def _is_lost(self) -> bool:
+        return self._failures_in_row >= UNREACHABLE_FAILURES
 
     def is_crowded(self, now: Millis) -> bool:
         """Whether it accepts no further connection for now."""
@@ -166,9 +186,11 @@
         crowded_ms = FIRST_CROWDED_MS * 2**self._resets_in_row
         self._crowded_until = Millis(now + min(MAX_CROWDED_MS, crowded_ms))
         self._resets_in_row += 1
+        self.note_connected(now)
 
     def note_connected(self, now: Millis) -> None:
         """Records that a connection was made after failures."""
+        self._zone_reach.note_heard(now)
         self._failures_in_row = 0
         self._avoided_until = now
 
@@ -236,6 +258,7 @@
         self._slowness_at = ended_at
 
     def _note_success(self, now: Millis) -> None:
+        self._zone_reach.note_heard(now)
         self.heard_at = now
         self._failures_in_row = 0
         self._resets_in_row = 0
@@ -249,6 +272,7 @@
         self._failing_at = now
         if end is CallEnd.FAILED or end is CallEnd.SHED:
             # It answers, so that its process and the path to it are sound.
+            self._zone_reach.note_heard(now)
             self.heard_at = now
             self._failures_in_row = 0
             return
@@ -258,6 +282,7 @@
 
     def note_unconnected(self, now: Millis) -> None:
         """Records a connection or call that ended without an answer."""
+        self._zone_reach.note_lost(self.entry.upstream)
         self._failures_in_row += 1
         avoidance = FIRST_AVOIDANCE_MS * 2 ** (self._failures_in_row - 1)
         self._avoided_until = Millis(now + min(MAX_AVOIDANCE_MS, avoidance))
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -9,6 +10,7 @@
 from skylarkcart.clock import Millis
 from skylarkcart.published import Registered, UpstreamState
 from skylarkcart.replicas._replica import Replica, SlowSample
+from skylarkcart.replicas._zone_reach import ZoneReach
 from skylarkcart.types import ServiceId, SlowCall, UpstreamId, ZoneId
 
 # Expected times are multiplied by these factors. A call to another zone costs a round
@@ -30,6 +32,10 @@
 # Choices differ by this part at random, so that instances do not all choose alike.
 RANDOM_PART = 0.1
 
+# Connections that are tried at a time, and of them to each zone that is cut off.
+MAX_PROBES = 24
+ZONE_PROBES = 3
+
 # Slow calls are told to other instances for this time, the newest first.
 TOLD_FOR_MS = 1_000.0
 MAX_TOLD = 10
@@ -58,6 +64,9 @@
         # services that are not named have no limit of their own.
         self.cold_rates: dict[ServiceId, float] = {}
         self._connect_ms: dict[ServiceId, float] = {}
+        self._zones: collections.defaultdict[ZoneId, ZoneReach] = (
+            collections.defaultdict(ZoneReach)
+        )
 
     def update(
         self,
@@ -133,6 +142,32 @@
         known_ms += CONNECT_WEIGHT * (took_ms - known_ms)
         self._connect_ms[service] = known_ms
 
+    def list_lost_zones(self) -> tuple[ZoneId, ...]:
+        """Returns the zones that this instance's own calls show to be cut off."""
+        return tuple(zone for zone, reach in self._zones.items() if reach.is_lost)
+
+    def hear_lost_zones(self, zones: Iterable[ZoneId], *, now: Millis) -> None:
+        """Learns of zones that another instance of the own zone finds cut off."""
+        for zone in zones:
+            self._zones[zone].note_told(now)
+
+    def list_probes(self, now: Millis) -> list[Replica]:
+        """Returns the upstreams to which a connection should be tried now.
+
+        Those of services that can't be reached at all come first. Of a zone that is cut
+        off, a few are enough.
+        """
+        due = [
+            replica for replica in self.replicas.values() if replica.needs_probe(now)
+        ]
+        self._random.shuffle(due)
+        for zone, reach in self._zones.items():
+            if reach.is_unreachable(now):
+                inside = [r for r in self.replicas.values() if r.entry.zone == zone]
+                due += self._random.sample(inside, min(ZONE_PROBES, len(inside)))
+        due.sort(key=lambda replica: self.is_reachable(replica.entry.service, now))
+        return due[:MAX_PROBES]
+
     def list_slow_calls(self, now: Millis) -> tuple[SlowCall, ...]:
         """Returns the newest slow calls, for other instances."""
         slow = [
@@ -183,7 +218,11 @@
     def _put(self, upstream: UpstreamId, known: Registered) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
-            self.replicas[upstream] = Replica(entry=known.entry, seen_at=known.seen_at)
+            self.replicas[upstream] = Replica(
+                entry=known.entry,
+                seen_at=known.seen_at,
+                zone_reach=self._zones[known.entry.zone],
+            )
             return
         replica.entry = known.entry
         replica.seen_at = known.seen_at
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -279,3 +279,69 @@
     call(replica, 3_300, 3_310)
     replica.note_reset(Millis(4_000))
     assert not replica.is_crowded(Millis(5_100))
+
+
+def build_zones(*zones: str) -> Replicas:
+    """Six upstreams of the service in each zone."""
+    return build_replicas(
+        *(
+            build_entry(10 * index + number, zone=ZoneId(zone))
+            for index, zone in enumerate(zones)
+            for number in range(6)
+        )
+    )
+
+
+def list_zone(replicas: Replicas, zone: str) -> list[Replica]:
+    return [r for r in replicas.replicas.values() if r.entry.zone == zone]
+
+
+def test_zone_is_unreachable_once_several_of_its_upstreams_are_silent() -> None:
+    """Behind a partition each upstream was tried by three requests in turn."""
+    replicas = build_zones("zone-a", "zone-b")
+    cut_off = list_zone(replicas, "zone-b")
+    for replica in cut_off[:4]:
+        call(replica, 0, 300, CallEnd.SILENT)
+    assert all(replica.is_unreachable(Millis(300)) for replica in cut_off)
+    assert not any(r.is_unreachable(Millis(300)) for r in list_zone(replicas, "zone-a"))
+    cut_off[5].note_connected(Millis(400))
+    assert not cut_off[4].is_unreachable(Millis(400))
+
+
+def test_zone_with_one_answer_among_failures_is_reachable() -> None:
+    """Upstreams crash in numbers, too, while the others of their zone serve."""
+    replicas = build_zones("zone-b")
+    upstreams = list_zone(replicas, "zone-b")
+    for replica in upstreams[:3]:
+        call(replica, 0, 300, CallEnd.LOST)
+    call(upstreams[5], 0, 10)
+    call(upstreams[3], 0, 300, CallEnd.LOST)
+    assert not upstreams[4].is_unreachable(Millis(300))
+
+
+def test_other_instances_tell_of_a_zone_that_is_cut_off() -> None:
+    """Each instance of a zone learned of a partition from its own failures."""
+    teller, hearer, busy = (build_zones("zone-a", "zone-b") for _ in range(3))
+    for replica in list_zone(teller, "zone-b"):
+        call(replica, 0, 300, CallEnd.SILENT)
+    call(list_zone(busy, "zone-b")[0], 250, 260)
+    for hears in (hearer, busy):
+        hears.hear_lost_zones(teller.list_lost_zones(), now=Millis(350))
+    hearing, hearing_busy = (list_zone(r, "zone-b")[1] for r in (hearer, busy))
+    assert hearing.is_unreachable(Millis(400))
+    assert not hearing_busy.is_unreachable(Millis(400))
+    assert hearer.list_lost_zones() == ()
+    assert not hearing.is_unreachable(Millis(1_400))
+
+
+def test_unreachable_upstream_gets_no_call_before_a_connection_is_made() -> None:
+    """Each time that the avoidance ended, a request was spent to find it in vain."""
+    replicas = build_replicas(build_entry(1), build_entry(2))
+    lost = replicas.replicas[UpstreamId("i-1")]
+    call(lost, 0, 300, CallEnd.SILENT)
+    call(lost, 600, 900, CallEnd.SILENT)
+    assert replicas.list_probes(Millis(1_000)) == []
+    assert replicas.list_probes(Millis(5_000)) == [lost]
+    assert count_choices(replicas, 5_000) == {"i-2": 100}
+    lost.note_connected(Millis(5_100))
+    assert "i-1" in count_choices(replicas, 40_000)
