Let a large fleet use the fractions of its extra calls

Ruled out: a larger part of the slack for instances with more requests, which would count twice while callers move between zones. Change: each instance draws the least fraction that allows one more call, so that the sum over the fleet is used; zones that are cut off or reached again are logged.

--- a/src/skylarkcart/budgets/_extra_calls.py
+++ b/src/skylarkcart/budgets/_extra_calls.py
@@ -30,16 +30,30 @@
 
     The fleet may make ``ratio`` extra calls for each request of a window and ``slack``
     more. Each instance uses the ratio for its own requests and an equal part of the
-    slack, so that no message is needed before a call.
-
-    >>> calls = ExtraCalls(ratio=0.2, slack=56, window_ms=10_000, now=Millis(0))
+    slack, so that no message is needed before a call. In a large fleet that part is a
+    few calls and a fraction; ``rounding``, above 0 and at most 1, is the least fraction
+    that allows one more. Drawn at random by each instance, it lets the fleet use the
+    sum of all fractions.
+
+    >>> calls = ExtraCalls(
+    ...     ratio=0.2, slack=56, window_ms=10_000, rounding=1.0, now=Millis(0)
+    ... )
     >>> calls.try_spend(ExtraCallKind.RETRY, now=Millis(1), fleet_size=8)
     True
     """
 
     def __init__(
-        self, *, ratio: float, slack: float, window_ms: float, now: Millis
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_ms: float,
+        rounding: float,
+        now: Millis,
     ) -> None:
+        if not 0 < rounding <= 1:
+            raise ValueError(f"rounding is {rounding}, expected above 0 and at most 1")
+        self._rounding = rounding
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
@@ -81,7 +95,7 @@
         left = self.get_left(now=now, fleet_size=fleet_size)
         if kind is ExtraCallKind.HEDGE:
             left -= (1 - HEDGED_PART) * (left + self._extra)
-        if left < 1:
+        if left < self._rounding:
             return False
         self.note_extra(now)
         return True
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -18,7 +18,7 @@
 from skylarkcart.registry import Registry, RegistryEvent
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
 from skylarkcart.routing import RouteTable, list_services
-from skylarkcart.types import ServiceId, UpstreamId
+from skylarkcart.types import ServiceId, UpstreamId, ZoneId
 
 # Readiness fails first when an instance stops; the balancer asks once a second and
 # takes an instance out after two misses.
@@ -110,6 +110,7 @@
         self.reaches_store = True
         self._used_services: frozenset[ServiceId] = frozenset()
         self._opened_ahead: set[ServiceId] = set()
+        self._unreachable_zones: frozenset[ZoneId] = frozenset()
         self._served_few_at = Millis(float("-inf"))
         # Since when callers are served better by other instances, None if they are not.
         self.turns_away_since: Millis | None = None
@@ -192,6 +193,7 @@
                 ratio=bounds.extra_calls_ratio,
                 slack=bounds.extra_calls_slack,
                 window_ms=bounds.extra_calls_window_ms,
+                rounding=1.0 - self.random.random(),
                 now=self.now,
             )
             self._extra_calls[service] = calls
@@ -282,6 +284,16 @@
         for replica in self.replicas.list_probes(self.now):
             self.pool.probe(replica)
 
+    def note_unreachable_zones(self) -> None:
+        """Logs which zones were cut off or reached again since the last time."""
+        zones = self.replicas.list_unreachable_zones(self.now)
+        own = self.replicas.list_lost_zones()
+        for zone in zones - self._unreachable_zones:
+            self.log_warning("zone_unreachable", zone=zone, found_here=zone in own)
+        for zone in self._unreachable_zones - zones:
+            self.log.write("zone_reached", zone=zone)
+        self._unreachable_zones = zones
+
     def open_ahead(self) -> None:
         """Opens a connection for services without any, a few at a time.
 
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -135,6 +135,7 @@
                 core.apply_published()
             core.pool.close_idle(now)
             core.probe_unreachable()
+            core.note_unreachable_zones()
             core.open_ahead()
             core.share_cold_rates()
             self._note_readiness(core.find_unready_reason(now))
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -146,6 +146,12 @@
         """Returns the zones that this instance's own calls show to be cut off."""
         return tuple(zone for zone, reach in self._zones.items() if reach.is_lost)
 
+    def list_unreachable_zones(self, now: Millis) -> frozenset[ZoneId]:
+        """Returns the zones that are cut off by own calls or as others tell."""
+        return frozenset(
+            zone for zone, reach in self._zones.items() if reach.is_unreachable(now)
+        )
+
     def hear_lost_zones(self, zones: Iterable[ZoneId], *, now: Millis) -> None:
         """Learns of zones that another instance of the own zone finds cut off."""
         for zone in zones:
@@ -161,10 +167,9 @@
             replica for replica in self.replicas.values() if replica.needs_probe(now)
         ]
         self._random.shuffle(due)
-        for zone, reach in self._zones.items():
-            if reach.is_unreachable(now):
-                inside = [r for r in self.replicas.values() if r.entry.zone == zone]
-                due += self._random.sample(inside, min(ZONE_PROBES, len(inside)))
+        for zone in sorted(self.list_unreachable_zones(now)):
+            inside = [r for r in self.replicas.values() if r.entry.zone == zone]
+            due += self._random.sample(inside, min(ZONE_PROBES, len(inside)))
         due.sort(key=lambda replica: self.is_reachable(replica.entry.service, now))
         return due[:MAX_PROBES]
 
--- a/tests/budgets/test_extra_calls.py
+++ b/tests/budgets/test_extra_calls.py
@@ -14,15 +14,21 @@
 WINDOW_MS = 10_000.0
 
 
-def build(now: float = 0.0) -> ExtraCalls:
-    return ExtraCalls(ratio=RATIO, slack=SLACK, window_ms=WINDOW_MS, now=Millis(now))
+def build(now: float = 0.0, *, rounding: float = 1.0) -> ExtraCalls:
+    return ExtraCalls(
+        ratio=RATIO,
+        slack=SLACK,
+        window_ms=WINDOW_MS,
+        rounding=rounding,
+        now=Millis(now),
+    )
 
 
 @pytest.mark.parametrize("seed", range(10))
 def test_fleet_keeps_the_bound_in_every_window(seed: int) -> None:
     """Every call fails, so that each instance spends all that it may."""
     generator = random.Random(seed)
-    fleet = [build() for _ in range(8)]
+    fleet = [build(rounding=1.0 - generator.random()) for _ in range(8)]
     requests: list[float] = []
     extra: list[float] = []
     now = 0.0
@@ -67,3 +73,30 @@
         pass
     assert calls.get_free_part(now=now, fleet_size=8) < 0.2
     assert calls.get_free_part(now=Millis(41_000), fleet_size=8) == 1.0
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_large_fleet_uses_nearly_all_of_its_budget_and_no_more(seed: int) -> None:
+    """Each of 80 instances rounded two and a half calls down to two."""
+    generator = random.Random(seed)
+    fleet_size, slack = 80, 200.0
+    fleet = [
+        ExtraCalls(
+            ratio=RATIO,
+            slack=slack,
+            window_ms=WINDOW_MS,
+            rounding=1.0 - generator.random(),
+            now=Millis(-2 * WINDOW_MS),
+        )
+        for _ in range(fleet_size)
+    ]
+    asked = sent = 0
+    for number in range(560):
+        now = Millis(number * WINDOW_MS / 560)
+        calls = generator.choice(fleet)
+        calls.note_request(now)
+        asked += 1
+        for _ in range(3):
+            sent += calls.try_spend(ExtraCallKind.RETRY, now=now, fleet_size=fleet_size)
+    bound = RATIO * asked + slack
+    assert 0.8 * bound <= sent <= bound
