--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -247,18 +247,20 @@
 
     def find_unready_reason(self, now: Millis) -> str | None:
         """Returns why callers should not come here, or None if they should."""
-        reason = None
         if not self.lifecycle.is_ready:
             return self.lifecycle.state.value
         if not self.trusts_keys(now):
-            reason = "keys_not_confirmed"
-        elif not self.may_serve_most(now):
-            reason = "upstreams_unreachable"
-        if reason is None:
+            return "keys_not_confirmed"
+        if not self.may_serve_most(now):
+            return "upstreams_unreachable"
+        return None
+
+    def note_readiness(self, reason: str | None, now: Millis) -> None:
+        """Turns callers away while there is a reason other than start and stop."""
+        if reason is None or not self.lifecycle.is_ready:
             self.turns_away_since = None
         elif self.turns_away_since is None:
             self.turns_away_since = now
-        return reason
 
     def may_serve_most(self, now: Millis) -> bool:
         """Whether most routes may be served, so that callers should come here.
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -8,7 +8,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from skylarkcart.clock import SystemClock
+from skylarkcart.clock import Millis, SystemClock
 from skylarkcart.gateway._caller_connection import CallerConnection
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._pages import serve_metrics, serve_readiness
@@ -138,16 +138,17 @@
             core.note_unreachable_zones()
             core.open_ahead()
             core.share_cold_rates()
-            self._note_readiness(core.find_unready_reason(now))
+            self._note_readiness(core.find_unready_reason(now), now)
             age_ms = core.registry.get_age_ms(now)
             core.metrics.state_age.set(age_ms / 1000.0)
             core.metrics.state_revision.set(core.registry.revision)
 
-    def _note_readiness(self, reason: str | None) -> None:
+    def _note_readiness(self, reason: str | None, now: Millis) -> None:
+        core = self._core
+        core.note_readiness(reason, now)
         if reason == self._unready_reason:
             return
         self._unready_reason = reason
-        core = self._core
         core.log.write(
             "readiness_changed",
             is_ready=reason is None,
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -276,13 +276,19 @@
             self.heard_at = now
             self._failures_in_row = 0
             return
-        if end is not CallEnd.REFUSED_CONNECTION:
+        if end is CallEnd.LOST:
+            # Its host answered with a reset, as it does for forgotten connections.
+            self._count_failure(now)
+        elif end is not CallEnd.REFUSED_CONNECTION:
             # Failed connections are counted as they fail.
             self.note_unconnected(now)
 
     def note_unconnected(self, now: Millis) -> None:
-        """Records a connection or call that ended without an answer."""
+        """Records a connection that failed, or a call that got no answer."""
         self._zone_reach.note_lost(self.entry.upstream)
+        self._count_failure(now)
+
+    def _count_failure(self, now: Millis) -> None:
         self._failures_in_row += 1
         avoidance = FIRST_AVOIDANCE_MS * 2 ** (self._failures_in_row - 1)
         self._avoided_until = Millis(now + min(MAX_AVOIDANCE_MS, avoidance))
--- a/src/skylarkcart/replicas/_zone_reach.py
+++ b/src/skylarkcart/replicas/_zone_reach.py
@@ -5,8 +5,8 @@
 from skylarkcart.clock import Millis
 from skylarkcart.types import UpstreamId
 
-# So many upstreams of a zone that end calls or connections without an answer, while no
-# other one of it answers, mean that the zone is cut off.
+# So many upstreams of a zone to which connections fail or that leave calls unanswered,
+# while no other one of it answers, mean that the zone is cut off.
 MIN_LOST_UPSTREAMS = 4
 
 # What another instance tells counts for this time; it is told again each round. It does
@@ -41,7 +41,7 @@
         self._told_until = now
 
     def note_lost(self, upstream: UpstreamId) -> None:
-        """Records a call or connection that ended without an answer."""
+        """Records a connection that failed, or a call that got no answer."""
         self._lost.add(upstream)
 
     def note_told(self, now: Millis) -> None:
