Say in a search's line when it was due and what had no budget

Ruled out: a line for each second call, which would exceed the bound of lines under load. Change: request_success, request_partial, request_failed and request_timed_out of searches carry due_ms and shards_without_budget.

--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -20,7 +20,7 @@
 from skylarkcart.published import Route
 from skylarkcart.replicas import CallEnd, Replica
 from skylarkcart.scatter import GatherExecution, GatherVerdict, Part, merge_records
-from skylarkcart.types import AccountId, UpstreamId
+from skylarkcart.types import AccountId, ServiceId, UpstreamId
 from skylarkcart.verdict import RunVerdict
 
 # A part that waits longer than a quantile of the route's calls gets a second call: the
@@ -59,6 +59,7 @@
         self._calls: dict[Call, Part] = {}
         self._hedges = 0
         self._retries = 0
+        self._without_budget: set[ServiceId] = set()
         self._has_started = False
 
     def start(self) -> None:
@@ -206,6 +207,8 @@
             elif self._core.try_extra_call(part.shard, ExtraCallKind.HEDGE):
                 self._send(part, replica)
                 self._hedges += 1
+            else:
+                self._without_budget.add(part.shard)
 
     def _move(self, part: Part, call: Call, replica: Replica) -> None:
         """Calls another upstream instead of one that is still to be connected."""
@@ -255,8 +258,7 @@
             Outcome.PARTIAL if missing else Outcome.SUCCESS,
             parts=len(parts),
             missing=self._describe_missing(),
-            hedges=self._hedges,
-            retries=self._retries,
+            **self._describe_work(),
         )
 
     def _fail(self, now: Millis) -> None:
@@ -268,10 +270,18 @@
             verdict=RunVerdict.MAY_HAVE_RUN,
             parts=self._execution.answered_count,
             missing=self._describe_missing(),
-            hedges=self._hedges,
-            retries=self._retries,
+            **self._describe_work(),
         )
 
+    def _describe_work(self) -> dict[str, float]:
+        """Returns what a line of the log says of the request's time and calls."""
+        return {
+            "due_ms": round(self._times.answer_by - self._ending.arrived_at, 1),
+            "hedges": self._hedges,
+            "retries": self._retries,
+            "shards_without_budget": len(self._without_budget),
+        }
+
     def _describe_missing(self) -> list[str]:
         return [
             f"{part.shard}: {'lost' if part.is_lost else 'late'} at "
--- a/tests/explain/test_walks.py
+++ b/tests/explain/test_walks.py
@@ -71,7 +71,7 @@
     (missing,) = line.fields["missing"]
     assert missing.startswith("shard-2: late at b")
     assert line.fields["hedges"] >= 0
-    assert_page_names("request_partial", "missing", "hedges")
+    assert_page_names("request_partial", "missing", "hedges", "shards_without_budget")
 
 
 async def test_failed_and_may_have_run(deployment, log) -> None:
