Count routes by their requests in readiness, and tell returning callers the truth

Ruled out: the detection of the cut zone (zone_unreachable within the first second at all instances); a level of the bucket above its need (2.7 tokens, 4 needed). Change: a route counts by its requests in the window of the extra calls, as they were before callers were turned away; Retry-After is when a returning request would be admitted, at the reachable part of the rate.

--- a/src/skylarkcart/budgets/_extra_calls.py
+++ b/src/skylarkcart/budgets/_extra_calls.py
@@ -72,10 +72,10 @@
         self._extra += 1
         self._get_bucket(now)[2] += 1
 
-    def has_requests(self, now: Millis) -> bool:
-        """Whether there was a request in the current window."""
+    def count_requests(self, now: Millis) -> int:
+        """Returns the requests in the current window."""
         self._get_bucket(now)
-        return self._requests > 0
+        return self._requests
 
     def get_left(self, *, now: Millis, fleet_size: int) -> float:
         """Returns how many extra calls this instance may still make now."""
--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -85,7 +85,8 @@
     if account is None:
         return Refusal(status=401, reason="unknown_key")
     if not core.quotas.try_spend(account.account, now, is_returning=times.is_returning):
-        wait_ms = core.quotas.estimate_wait_ms(account.account)
+        # It returns after that time.
+        wait_ms = core.quotas.estimate_wait_ms(account.account, is_returning=True)
         return Refusal(
             status=429,
             reason="rate_exceeded",
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -42,6 +42,9 @@
 # come here before.
 REGAINING_MS = 500.0
 
+# What a route without recent requests counts in readiness, in requests.
+IDLE_DEMAND = 0.1
+
 # The balancer asks for readiness once a second and takes an instance out after two
 # misses.
 BALANCER_NOTICE_MS = 2_200.0
@@ -112,6 +115,7 @@
         self._opened_ahead: set[ServiceId] = set()
         self._unreachable_zones: frozenset[ZoneId] = frozenset()
         self._served_few_at = Millis(float("-inf"))
+        self._demand: dict[str, float] = {}
         # Since when callers are served better by other instances, None if they are not.
         self.turns_away_since: Millis | None = None
         self._extra_calls: dict[ServiceId, ExtraCalls] = {}
@@ -263,7 +267,7 @@
             self.turns_away_since = now
 
     def may_serve_most(self, now: Millis) -> bool:
-        """Whether most routes may be served, so that callers should come here.
+        """Whether most requests may be served, so that callers should come here.
 
         Behind a partition they are served better by another zone, and just after it
         until all routes may be served again. Routes without any registered upstream say
@@ -271,15 +275,27 @@
         """
         if self.table is None:
             return False
-        served = [
-            self.may_serve(route, now)
+        served = {
+            route: self.may_serve(route, now)
             for route in self.table.configuration.routes
             if any(map(self.replicas.has_any, list_services(route)))
-        ]
-        if 2 * sum(served) < len(served):
+        }
+        if now - self._served_few_at > REGAINING_MS:
+            # Callers that were turned away no longer show which routes they use.
+            self._demand = {
+                route.name: self._get_demand(route, now) for route in served
+            }
+        demand = {route: self._demand.get(route.name, IDLE_DEMAND) for route in served}
+        served_demand = sum(demand[route] for route in served if served[route])
+        if 2 * served_demand < sum(demand.values()):
             self._served_few_at = now
             return False
-        return all(served) or now - self._served_few_at > REGAINING_MS
+        return all(served.values()) or now - self._served_few_at > REGAINING_MS
+
+    def _get_demand(self, route: Route, now: Millis) -> float:
+        """Returns how much a route's requests count in readiness."""
+        requests = [self._count_requests(s, now) for s in list_services(route)]
+        return IDLE_DEMAND + max(requests, default=0)
 
     def probe_unreachable(self) -> None:
         """Tries connections to upstreams that could not be reached."""
@@ -322,8 +338,11 @@
                 return
 
     def _has_requests(self, service: ServiceId) -> bool:
+        return self._count_requests(service, self.now) > 0
+
+    def _count_requests(self, service: ServiceId, now: Millis) -> int:
         calls = self._extra_calls.get(service)
-        return calls is not None and calls.has_requests(self.now)
+        return 0 if calls is None else calls.count_requests(now)
 
     def _note_connected(self, replica: Replica, took_ms: float) -> None:
         replica.note_connected(self.now)
--- a/src/skylarkcart/quotas/_shared.py
+++ b/src/skylarkcart/quotas/_shared.py
@@ -52,6 +52,11 @@
         self.level = min(self.burst, self.level + gained)
         self.refilled_at = now
 
+    def get_needed(self, *, is_returning: bool) -> float:
+        """Returns the level at which a request is admitted."""
+        needed = 1 + RESERVED_PART * self.burst if is_returning else 1
+        return min(needed, self.burst)
+
     def deduct(self, requests: float) -> None:
         floor = -MAX_DEBT_S * self.rate_per_s
         self.level = max(min(floor, self.level), self.level - requests)
@@ -106,8 +111,7 @@
         if quota.rate_per_s <= 0:
             return True
         quota.refill(now, reachable_part=self.reachable_part)
-        needed = 1 + RESERVED_PART * quota.burst if is_returning else 1
-        if quota.level < min(needed, quota.burst):
+        if quota.level < quota.get_needed(is_returning=is_returning):
             return False
         quota.level -= 1
         quota.spent += 1
@@ -122,11 +126,14 @@
         if quota is not None and quota.rate_per_s > 0:
             quota.level = min(quota.burst, quota.level + 1)
 
-    def estimate_wait_ms(self, account: AccountId) -> float:
-        """Returns when the next token is due, if nobody else takes it."""
+    def estimate_wait_ms(
+        self, account: AccountId, *, is_returning: bool = False
+    ) -> float:
+        """Returns when a request would be admitted, if nobody else takes a token."""
         quota = self._quotas[account]
-        missing = max(0.0, 1 - quota.level)
-        return missing / quota.rate_per_s * MILLISECONDS_PER_SECOND
+        missing = max(0.0, quota.get_needed(is_returning=is_returning) - quota.level)
+        rate_per_s = quota.rate_per_s * self.reachable_part
+        return missing / rate_per_s * MILLISECONDS_PER_SECOND
 
     def build_report(self, now: Millis) -> dict[AccountId, Spending]:
         """Returns what this process admitted, for accounts that were active lately."""
--- a/tests/quotas/test_quotas.py
+++ b/tests/quotas/test_quotas.py
@@ -200,6 +200,16 @@
     assert fresh.count(True) == 3
 
 
+def test_returning_request_is_told_when_it_would_be_admitted() -> None:
+    """It was told to come back at once while the tokens left were reserved."""
+    quotas = Quotas(initial_part=1.0)
+    quotas.configure(build_account(1, 10), Millis(0))
+    while quotas.try_spend(ACCOUNT, Millis(0), is_returning=True):
+        pass
+    due = Millis(quotas.estimate_wait_ms(ACCOUNT, is_returning=True) + 1)
+    assert quotas.try_spend(ACCOUNT, due, is_returning=True)
+
+
 def test_account_with_a_burst_of_one_admits_returning_requests() -> None:
     """The reserve must not shut out accounts whose burst is smaller than it."""
     quotas = Quotas(initial_part=1.0)
