Make two checks as strict as what they guard

Cause: reading the change again. The test of a large fleet's extra calls also passed when each instance rounded down, so that it could not fail for its fault. Change: tests only. Before: with whole calls only, 240 of 312 are used and the new test fails in all ten seeds. After: 289 to 305 are used. Conclusion: kept.

--- a/tests/budgets/test_extra_calls.py
+++ b/tests/budgets/test_extra_calls.py
@@ -77,7 +77,7 @@
 
 @pytest.mark.parametrize("seed", range(10))
 def test_large_fleet_uses_nearly_all_of_its_budget_and_no_more(seed: int) -> None:
-    """Each of 80 instances rounded two and a half calls down to two."""
+    """Fractions that are allowed at random must not add up to more than the bound."""
     generator = random.Random(seed)
     fleet_size, slack = 80, 200.0
     fleet = [
@@ -100,3 +100,31 @@
             sent += calls.try_spend(ExtraCallKind.RETRY, now=now, fleet_size=fleet_size)
     bound = RATIO * asked + slack
     assert 0.8 * bound <= sent <= bound
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_large_fleet_uses_the_fractions_of_its_budget(seed: int) -> None:
+    """Each of 80 instances rounded 3.7 calls down to three, 240 instead of 296."""
+    generator = random.Random(seed)
+    fleet_size, slack, requests = 80, 200.0, 560
+    fleet = [
+        ExtraCalls(
+            ratio=RATIO,
+            slack=slack,
+            window_ms=WINDOW_MS,
+            rounding=1.0 - generator.random(),
+            now=Millis(-2 * WINDOW_MS),
+        )
+        for _ in range(fleet_size)
+    ]
+    for number in range(requests):
+        now = Millis(number * WINDOW_MS / requests)
+        fleet[number % fleet_size].note_request(now)
+    now = Millis(WINDOW_MS - 1)
+    sent = sum(
+        calls.try_spend(ExtraCallKind.RETRY, now=now, fleet_size=fleet_size)
+        for calls in fleet
+        for _ in range(10)
+    )
+    bound = RATIO * requests + slack
+    assert 0.9 * bound <= sent <= bound
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -175,7 +175,7 @@
     statuses = [status for status, _, _ in answers]
     assert statuses.count(200) <= 3 and statuses[-1] == 429
     # One token and the reserve of 0.3 of the burst, at one token a second.
-    assert 0 < float(answers[-1][1]["retry-after"]) <= 1.61
+    assert 0.6 < float(answers[-1][1]["retry-after"]) <= 1.61
     assert deployment.list_runs("r5") == []
 
 
