Count omitted log lines within the bound of the buffer

Cause: EventLog added the line lines_omitted at each new second without a look at its bound, so that a buffer nobody reads grew by a line a second, and test_writing_does_not_wait_for_a_reader failed when it crossed a second. Change: the counts are kept until there is room for their line.

--- a/src/skylarkcart/gateway/_event_log.py
+++ b/src/skylarkcart/gateway/_event_log.py
@@ -117,7 +117,7 @@
             return
         self._window_second = second
         self._counts.clear()
-        if self._omitted_counts:
+        if self._omitted_counts and len(self._lines) < MAX_BUFFERED_LINES:
             omitted_counts, self._omitted_counts = self._omitted_counts, {}
             self._append(
                 "lines_omitted", Level.WARNING, now, {"counts": omitted_counts}
