Close connections that an entry instance accepts while it shuts down

Cause: uvicorn's shutdown closes the connections that exist when it begins and waits for all; one that is accepted just after stays open while the load balancer probes on it, and the drain does not end. Change: connections that are still open an interval later are closed, after their response if one is due. Ruled out: uvicorn's own timeout, which cancels requests in progress.

--- a/src/skylarkcart/entry/http_server.py
+++ b/src/skylarkcart/entry/http_server.py
@@ -13,6 +13,7 @@
 KEEP_ALIVE_S = 75
 START_POLL_INTERVAL_S = 0.005
 TICK_INTERVAL_S = 0.1
+LATE_CONNECTION_INTERVAL_S = 0.1
 
 
 RequestHandler = Callable[[Request], Awaitable[Response]]
@@ -21,7 +22,8 @@
 class _EmbeddedServer(uvicorn.Server):
     """A uvicorn server that stops immediately on request.
 
-    uvicorn's own main loop checks for the request only every 100 ms.
+    uvicorn's own main loop checks for the request only every 100 ms, and its shutdown
+    closes only the connections that exist when it begins, but waits for all.
     """
 
     def __init__(self, config: uvicorn.Config) -> None:
@@ -40,6 +42,28 @@
                 async with asyncio.timeout(TICK_INTERVAL_S):
                     await self._exit_requested.wait()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        closing = asyncio.create_task(self._close_late_connections())
+        try:
+            await super().shutdown(sockets)
+        finally:
+            closing.cancel()
+
+    async def _close_late_connections(self) -> None:
+        """Closes connections that were accepted while the shutdown began.
+
+        A connection is left open for one interval, so that its first request is
+        answered.
+        """
+        known: set[asyncio.Protocol] = set()
+        while True:
+            await asyncio.sleep(LATE_CONNECTION_INTERVAL_S)
+            connections = set(self.server_state.connections)
+            for connection in connections & known:
+                # Closes it at once if it is idle, or after its response.
+                connection.shutdown()
+            known = connections
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         # Signals are handled by the process, not by each of its servers.
