Bound what upstreams, the store and peers may send

Cause: UpstreamConnection had no bound on a head, a body or interim responses. A late copy of a response, without an id or in one piece with the response, could reach the next call on the connection. A transfer from a peer and a response of the store were read to the end, whatever came. Change: ReceiveLimits and ReceiveMemory bound a head, a body, interim responses and the total of all bodies being received, from the process's memory; past them the call ends as may-have-run, the connection is closed and the upstream is judged as failing. A response is passed on only after all data that arrived with it was read. Ruled out: time-outs alone, since 100 Mbit/s fill 200 MB within a deadline of 5 s.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -10,6 +10,7 @@
 from skylarkcart.gateway._event_log import EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
+from skylarkcart.gateway._receive_limits import ReceiveMemory
 from skylarkcart.gateway._timing import ElapsedTimeEstimator, ResponseDelayEstimator
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import Lifecycle
@@ -108,6 +109,8 @@
             get_limit=self._get_connection_limit,
             on_open=self.metrics.connections_opened.inc,
             on_connected=self._record_connected,
+            memory=ReceiveMemory(memory_mb=settings.memory_mb),
+            on_rejected=self._record_rejected_response,
         )
         self.table: RouteTable | None = None
         # Unknown before the first call; an instance that has not needed to call the
@@ -355,6 +358,10 @@
         budget = self._extra_calls.get(service)
         return 0 if budget is None else budget.count_requests(now)
 
+    def _record_rejected_response(self, upstream: UpstreamId, reason: str) -> None:
+        self.metrics.rejected_responses.labels(reason).inc()
+        self.log_warning("response_rejected", upstream=upstream, reason=reason)
+
     def _record_connected(self, replica: Replica, duration_ms: float) -> None:
         replica.record_connection(self.now)
         self.replicas.record_connect_time(
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -95,6 +95,19 @@
             registry=registry,
         )
 
+        self.rejected_responses = Counter(
+            "skylarkcart_gateway_rejected_responses",
+            "Responses of upstreams that exceeded a limit",
+            ("reason",),
+            registry=registry,
+        )
+        self.internal_errors = Counter(
+            "skylarkcart_gateway_internal_errors",
+            "Unexpected errors by the part in which they occurred",
+            ("part",),
+            registry=registry,
+        )
+
     def count_call(self, end: CallEnd) -> None:
         self._calls[end].inc()
 
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -22,6 +22,10 @@
 # Timeout for transferring the whole published state between two instances.
 TRANSFER_TIMEOUT_S = 1.0
 
+# Larger states are not accepted from a peer. The store holds values of at most 1 MiB.
+MAX_STATE_BYTES = 16 * 1_048_576
+TRANSFER_CHUNK_BYTES = 65_536
+
 # Older reports do not show which zones are reachable now.
 MAX_UNREACHABLE_ZONES_AGE_MS = 800.0
 
@@ -182,7 +186,12 @@
             try:
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                     published = await self._request_state(peer.host)
-            except (OSError, TimeoutError, msgspec.DecodeError) as error:
+            except (
+                OSError,
+                TimeoutError,
+                msgspec.DecodeError,
+                InvalidValueError,
+            ) as error:
                 core.log.write(
                     "state_not_fetched", peer=peer.instance, detail=repr(error)
                 )
@@ -200,9 +209,27 @@
         )
         try:
             writer.write(self._core.registry.revision.to_bytes(8))
-            data = await reader.read(-1)
+            data = await _read_to_end(reader)
         finally:
             writer.close()
         if not data:
             return None
         return msgspec.msgpack.decode(data, type=Published)
+
+
+async def _read_to_end(reader: asyncio.StreamReader) -> bytes:
+    """Reads until the peer closes the connection.
+
+    Raises:
+        InvalidValueError: the peer sends more than a state may take.
+    """
+    data = bytearray()
+    while chunk := await reader.read(TRANSFER_CHUNK_BYTES):
+        data += chunk
+        if len(data) > MAX_STATE_BYTES:
+            raise InvalidValueError(
+                where="state of a peer",
+                value=f"more than {MAX_STATE_BYTES} bytes",
+                expected=f"at most {MAX_STATE_BYTES} bytes",
+            )
+    return bytes(data)
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -11,6 +11,7 @@
 
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.exchange import UpstreamResponse
+from skylarkcart.gateway._receive_limits import ReceiveMemory
 from skylarkcart.gateway._upstream_connection import UpstreamConnection
 from skylarkcart.replicas import Access, CallEnd, Replica
 from skylarkcart.types import UpstreamId
@@ -117,8 +118,12 @@
         get_limit: Callable[[Replica], int],
         on_open: Callable[[], None],
         on_connected: Callable[[Replica, float], None],
+        memory: ReceiveMemory,
+        on_rejected: Callable[[UpstreamId, str], None],
     ) -> None:
         self._clock = clock
+        self._memory = memory
+        self._on_rejected = on_rejected
         self._on_connected = on_connected
         self._on_open = on_open
         self._get_limit = get_limit
@@ -281,6 +286,8 @@
                     lambda: UpstreamConnection(
                         on_response=self._handle_response,
                         on_connection_lost=self._handle_connection_lost,
+                        memory=self._memory,
+                        on_rejected=self._handle_rejection,
                     ),
                     address.host,
                     address.port,
@@ -352,6 +359,9 @@
             self._open_if_needed(call.replica, connections)
         self._finish_call(call, _classify_response(response))
 
+    def _handle_rejection(self, connection: UpstreamConnection, reason: str) -> None:
+        self._on_rejected(connection.upstream, reason)
+
     def _handle_connection_lost(self, connection: UpstreamConnection) -> None:
         connections = self._connections.get(connection.upstream)
         if connections is None:
--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -8,34 +8,49 @@
 import httptools
 
 from skylarkcart.exchange import UpstreamResponse
+from skylarkcart.gateway._receive_limits import ReceiveMemory, ResponseMeter
 from skylarkcart.platform._messages import decode_response
 from skylarkcart.types import UpstreamId
 
-STATUS_CONTINUE = 100
+MIN_FINAL_STATUS = 200
 
 ResponseHandler = Callable[["UpstreamConnection", UpstreamResponse], None]
 ConnectionLostHandler = Callable[["UpstreamConnection"], None]
+RejectionHandler = Callable[["UpstreamConnection", str], None]
 
 
 class UpstreamConnection(asyncio.Protocol):
     """Sends calls and passes on complete responses that belong to them.
 
-    A response with another request's id is dropped. Data that arrives without a pending
-    call belongs to no request and makes the connection unusable.
+    A response with another request's id is dropped; so is one without an id if the
+    upstream has sent ids before, since it may be a late copy of an earlier response.
+    Data that arrives without a pending call, or behind the response to one, belongs to
+    no request and makes the connection unusable. ``on_rejected`` gets the reason when
+    data exceeds a limit; the connection is then closed.
     """
 
     def __init__(
-        self, *, on_response: ResponseHandler, on_connection_lost: ConnectionLostHandler
+        self,
+        *,
+        memory: ReceiveMemory,
+        on_response: ResponseHandler,
+        on_connection_lost: ConnectionLostHandler,
+        on_rejected: RejectionHandler,
     ) -> None:
         self._on_response = on_response
         self._on_connection_lost = on_connection_lost
+        self._on_rejected = on_rejected
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._meter = ResponseMeter(memory=memory)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._is_reading_message = False
+        self._is_reading_body = False
         self._has_body_length = False
         self._request_id: bytes | None = None
+        self._response: UpstreamResponse | None = None
+        self._rejection: str | None = None
+        self._has_sent_ids = False
         self.is_open = False
         self.is_reusable = True
         self.has_sent_call = False
@@ -49,6 +64,7 @@
     def send(self, data: bytes, *, request_id: bytes) -> None:
         self.has_sent_call = True
         self._request_id = request_id
+        self._meter.begin_call()
         self._transport.write(data)
 
     def close(self) -> None:
@@ -64,15 +80,17 @@
         ends_response = (
             error is None
             and self.is_open
-            and self._is_reading_message
+            and self._is_reading_body
             and not self._has_body_length
         )
         self.is_open = False
         self.is_reusable = False
         if ends_response:
-            # The end of the connection delimits a response without a length, unless the
-            # connection was reset.
+            # The end of the connection delimits a response with a complete head and
+            # without a length, unless the connection was reset.
             self.on_message_complete()
+            self._deliver()
+        self._meter.release()
         self._request_id = None
         self._on_connection_lost(self)
 
@@ -82,18 +100,25 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_reusable = False
-            self.close()
-        if not self.is_reusable and not self.is_busy:
+        rejection = self._meter.add_data(len(data)) or self._rejection
+        # The response is passed on only now: data behind it must not be taken for the
+        # response to the next call.
+        self._deliver()
+        if rejection is not None and self.is_open:
+            self.is_reusable = False
+            self._on_rejected(self, rejection)
+        if not self.is_reusable:
             self.close()
 
     def on_message_begin(self) -> None:
         self._headers = []
         self._body = []
-        self._is_reading_message = True
+        self._is_reading_body = False
         self._has_body_length = False
-        if not self.is_busy:
+        self._meter.begin_message()
+        if self._response is not None:
             self.is_reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -101,20 +126,42 @@
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._has_body_length = True
 
+    def on_headers_complete(self) -> None:
+        self._is_reading_body = True
+        self._meter.end_head()
+
     def on_body(self, body: bytes) -> None:
-        self._body.append(body)
+        if self._rejection is not None:
+            return
+        self._rejection = self._meter.add_body(len(body))
+        if self._rejection is None:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
-        self._is_reading_message = False
+        self._is_reading_body = False
         status = self._parser.get_status_code()
-        if status == STATUS_CONTINUE or not self.is_busy:
+        if status < MIN_FINAL_STATUS:
+            self._meter.add_interim_response()
+            return
+        if self._response is not None or self._rejection is not None:
             return
         response = decode_response(status, self._headers, b"".join(self._body))
-        if response.request_id is not None and response.request_id != self._request_id:
+        self._meter.release()
+        if response.request_id is None and self._has_sent_ids:
+            self.is_reusable = False
             return
+        if response.request_id is not None:
+            self._has_sent_ids = True
+            if response.request_id != self._request_id:
+                return
         if response.idle_timeout_s is not None:
             self.idle_timeout_s = response.idle_timeout_s
         if not self._has_body_length or not self._parser.should_keep_alive():
             self.is_reusable = False
-        self._request_id = None
-        self._on_response(self, response)
+        self._response = response
+
+    def _deliver(self) -> None:
+        response, self._response = self._response, None
+        if response is not None:
+            self._request_id = None
+            self._on_response(self, response)
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -30,7 +30,8 @@
     ``seed_hosts`` are instances to contact first; the list may be out of date and the
     instances may be down. All instances of a fleet use the same ``peer_port``.
     ``is_first_start`` is true if no instance of the fleet has run before. ``link_mbps``
-    is the rate of the machine's network link in megabits per second.
+    is the rate of the machine's network link in megabits per second, ``memory_mb`` the
+    memory that the process may use, in megabytes.
     """
 
     instance: InstanceId
@@ -45,4 +46,5 @@
     seed_hosts: tuple[str, ...]
     is_first_start: bool
     link_mbps: float
+    memory_mb: float
     bounds: Bounds
--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -17,6 +17,9 @@
 
 MAX_RANGE_PAGES = 200
 
+# A response holds about 1 MB of items; changes of several seconds may take more.
+MAX_RESPONSE_BYTES = 16 * 1_048_576
+
 
 class StoreError(SkylarkcartError):
     """The store is unreachable, refused the request or sent a malformed response."""
@@ -137,11 +140,13 @@
         self._response: asyncio.Future[tuple[int, bytes]] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._received_bytes = 0
         self.is_closed = False
 
     async def get(self, target: str, *, host: str) -> tuple[int, bytes]:
         self._response = asyncio.get_running_loop().create_future()
         self._body.clear()
+        self._received_bytes = 0
         head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
         self._transport.write(head.encode())
         return await self._response
@@ -161,11 +166,18 @@
             self._response.set_exception(cause)
 
     def data_received(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            self._fail(f"response of more than {MAX_RESPONSE_BYTES} bytes")
+            return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self.abort()
-            self.connection_lost(ConnectionError(f"malformed HTTP response: {error}"))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(f"malformed HTTP response: {error}")
+
+    def _fail(self, detail: str) -> None:
+        self.abort()
+        self.connection_lost(ConnectionError(detail))
 
     def on_body(self, body: bytes) -> None:
         self._body += body
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -47,6 +47,7 @@
         "seed_hosts": (),
         "is_first_start": False,
         "link_mbps": 1_000.0,
+        "memory_mb": 200.0,
         "bounds": bounds,
     } | fields
     return GatewaySettings(**values)
