Let a malformed message or an unexpected error cost only itself

Cause: any exception of a background task ended the process, and a peer's report was believed: a member with a negative, infinite or NaN age was never removed and counted in the fleet's size; a stated revision far ahead made every receiver fetch in a loop. Ruled out: a process that ends and is restarted, since the same message meets all.

--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -45,6 +45,10 @@
 
 SEED_CONTACT_INTERVAL_MS = 1_000.0
 
+# A peer that stated a newer revision and then had no newer state is not asked again for
+# this time.
+MISSING_STATE_BACKOFF_MS = 2_000.0
+
 # Number of instances that read the store for the others. The second one, in another
 # zone if possible, covers the time until a failure of the first is detected.
 READER_COUNT = 2
@@ -60,6 +64,7 @@
     reported_at: Millis
     last_contact_at: Millis
     last_sent_at_ms: float = -1.0
+    lacks_stated_state_until: Millis = Millis(float("-inf"))
 
     @property
     def version(self) -> tuple[int, int]:
@@ -218,11 +223,18 @@
             peer.member
             for peer in self._list_responsive_peers(now)
             if peer.member.revision > revision
+            and now >= peer.lacks_stated_state_until
             and now - peer.last_contact_at <= GOSSIP_UNRESPONSIVE_AFTER_MS
         ]
         ahead.sort(key=lambda member: (member.zone != self._zone, -member.revision))
         return tuple(ahead)
 
+    def record_missing_state(self, instance: InstanceId, now: Millis) -> None:
+        """Records that a peer did not have the newer state that it stated."""
+        peer = self.peers.get(instance)
+        if peer is not None:
+            peer.lacks_stated_state_until = Millis(now + MISSING_STATE_BACKOFF_MS)
+
     def _update_peer(
         self, member: Member, now: Millis, *, last_contact_at: Millis
     ) -> bool:
@@ -240,6 +252,7 @@
         if known is not None and known.member.incarnation == member.incarnation:
             peer.last_contact_at = max(last_contact_at, known.last_contact_at)
             peer.last_sent_at_ms = known.last_sent_at_ms
+            peer.lacks_stated_state_until = known.lacks_stated_state_until
         self.peers[member.instance] = peer
         self._peers_by_host[member.host] = peer
         return True
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import math
+import zlib
+
 import msgspec
 
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
 
+# Older descriptions of members are not useful: members are removed sooner.
+MAX_AGE_MS = 600_000.0
+
+# Bound of counters and revisions, which fit in a signed 64-bit integer.
+MAX_COUNT = 2**63 - 1
+
 
 class Member(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """An instance's description of itself, made ``age_ms`` before the report was sent.
@@ -53,8 +62,22 @@
 _DECODER = msgspec.msgpack.Decoder(Report)
 
 
-def encode_report(report: Report) -> bytes:
-    return _ENCODER.encode(report)
+# The first byte of a zlib stream with the default window. A report in MessagePack
+# starts with an array.
+_COMPRESSED_START = b"\x78"
+_COMPRESSION_LEVEL = 1
+
+# Largest decompressed report; a datagram holds less than 64 KiB.
+_MAX_REPORT_BYTES = 65_536
+
+
+def encode_report(report: Report, *, compresses: bool = False) -> bytes:
+    """Encodes a datagram.
+
+    Reports to other zones are compressed, as traffic between zones is expensive.
+    """
+    data = _ENCODER.encode(report)
+    return zlib.compress(data, _COMPRESSION_LEVEL) if compresses else data
 
 
 def decode_report(data: bytes) -> Report:
@@ -64,8 +87,49 @@
         InvalidValueError: it is not a report.
     """
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+        report = _DECODER.decode(_decompress(data))
+    except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
         raise InvalidValueError(
             where="report", value=data[:40], expected=f"a report: {error}"
         ) from error
+    _check_numbers("report", report.sent_at_ms, report.echo_ms)
+    _check_numbers("confirmed age", report.confirmed_age_ms)
+    for member in (report.sender, *report.others):
+        _check_member(member)
+    return report
+
+
+def _decompress(data: bytes) -> bytes:
+    if data[:1] != _COMPRESSED_START:
+        return data
+    return zlib.decompressobj().decompress(data, _MAX_REPORT_BYTES)
+
+
+def _check_member(member: Member) -> None:
+    if not member.instance or not member.host or not member.zone:
+        raise InvalidValueError(
+            where="member", value=member.instance, expected="a name, host and zone"
+        )
+    _check_in_range("age", member.age_ms, MAX_AGE_MS)
+    for name in ("incarnation", "sequence", "revision"):
+        _check_in_range(name, getattr(member, name), MAX_COUNT)
+    for spent in member.spending.values():
+        _check_in_range("spending", spent.total, MAX_COUNT)
+        _check_in_range("earlier spending", spent.earlier, spent.total)
+    for call in member.slow_calls:
+        _check_in_range("end of a slow call", call.ended_ago_ms, MAX_AGE_MS)
+        _check_in_range("duration of a slow call", call.duration_ms, MAX_AGE_MS)
+        _check_in_range("ratio of a slow call", call.ratio, MAX_COUNT)
+
+
+def _check_in_range(where: str, value: float, largest: float) -> None:
+    # A comparison with NaN is false.
+    if not 0 <= value <= largest:
+        raise InvalidValueError(
+            where=where, value=value, expected=f"a number from 0 to {largest}"
+        )
+
+
+def _check_numbers(where: str, *values: float) -> None:
+    if not all(map(math.isfinite, values)):
+        raise InvalidValueError(where=where, value=values, expected="finite numbers")
--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -67,7 +67,8 @@
         self._limits = service.get_caller_limits()
         self._is_closing = False
         self._closes_after_responses = False
-        # Set after a malformed request behind pending ones; no further data is read.
+        # Set after a malformed request behind pending ones, or one for another
+        # protocol; no further data is read.
         self._is_rejecting = False
         self._last_active_at = service.clock.now()
         self._opened_at = self._last_active_at
@@ -103,7 +104,10 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrade_not_supported")
+            # The request itself was passed on; the parser reads nothing after it.
+            self._is_rejecting = True
+            if not self._is_handling and not self._queue and not self._is_closing:
+                self._close()
         except httptools.HttpParserError:
             self._reject(400, "malformed_request")
         if (
@@ -175,7 +179,10 @@
         self._unparsed_bytes = 0
         if self._is_closing:
             return
-        if not self._parser.should_keep_alive():
+        if self._parser.get_method() == b"CONNECT":
+            self._reject(400, "tunnels_not_supported")
+            return
+        if not self._parser.should_keep_alive() or self._parser.should_upgrade():
             self._closes_after_responses = True
         try:
             request = decode_request(
--- a/src/skylarkcart/gateway/_completion.py
+++ b/src/skylarkcart/gateway/_completion.py
@@ -13,6 +13,7 @@
 from skylarkcart.verdict import RunVerdict
 
 MILLISECONDS_PER_SECOND = 1000.0
+STATUS_INTERNAL_ERROR = 500
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -49,6 +50,11 @@
         self.kind = ""
         self.is_done = False
 
+    @property
+    def request_text(self) -> str:
+        """The request's id for log lines."""
+        return self.request.request_id.decode("latin-1")
+
     @property
     def closes_connection(self) -> bool:
         return self._core.closes_connections
@@ -113,7 +119,7 @@
             f"request_{outcome.value}",
             level=Level.INFO if is_success else Level.WARNING,
             limit=MAX_DETAIL_LINES_PER_SECOND,
-            request=self.request.request_id.decode("latin-1"),
+            request=self.request_text,
             route=self.route_name,
             elapsed_ms=round(elapsed_ms, 1),
             time_left_ms=self.request.time_left_ms,
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import random
+import traceback
 
 from skylarkcart.budgets import ExtraCallBudget, ExtraCallKind
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.fleet import Fleet
-from skylarkcart.gateway._event_log import EventLog, Level
+from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
 from skylarkcart.gateway._receive_limits import ReceiveMemory
+from skylarkcart.gateway._supervision import RestartPolicy
 from skylarkcart.gateway._timing import ElapsedTimeEstimator, ResponseDelayEstimator
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import Lifecycle
@@ -61,6 +63,9 @@
 # Latency assumed before the first call of a route, as a fraction of its target latency.
 INITIAL_LATENCY_FRACTION = 0.3
 
+# Innermost stack frames in the log line of an unexpected error.
+MAX_LOGGED_FRAMES = 4
+
 DEFAULT_CALLER_LIMITS = CallerLimits(
     max_header_bytes=16_384,
     max_body_bytes=262_144,
@@ -123,6 +128,7 @@
         self._route_weights: dict[str, float] = {}
         # When the instance became unready for reasons other than start and shutdown.
         self.unready_since: Millis | None = None
+        self._background_tasks: dict[str, RestartPolicy] = {}
         self._extra_calls: dict[ServiceId, ExtraCallBudget] = {}
         self._latencies: dict[str, RouteLatency] = {}
 
@@ -260,6 +266,8 @@
         """Returns why the instance is unready, or None if it is ready."""
         if not self.lifecycle.is_ready:
             return self.lifecycle.state.value
+        if any(task.is_failing(now) for task in self._background_tasks.values()):
+            return "background_task_failing"
         if not self.has_current_keys(now):
             return "keys_not_confirmed"
         if not self.can_serve_most_traffic(now):
@@ -395,5 +403,25 @@
             revision=self.registry.revision,
         )
 
+    def record_error(self, part: str, error: Exception, **fields: object) -> None:
+        """Logs and counts an unexpected error; only its message or step is lost."""
+        self.metrics.internal_errors.labels(part).inc()
+        frames = traceback.extract_tb(error.__traceback__)[-MAX_LOGGED_FRAMES:]
+        self.log.write(
+            "internal_error",
+            level=Level.ERROR,
+            limit=MAX_DETAIL_LINES_PER_SECOND,
+            part=part,
+            detail=repr(error),
+            frames=[f"{frame.name}:{frame.lineno}" for frame in frames],
+            **fields,
+        )
+
+    def record_task_error(self, task: str, error: Exception) -> float:
+        """Records an error of a background task; returns the delay of its restart."""
+        self.record_error(task, error)
+        policy = self._background_tasks.setdefault(task, RestartPolicy())
+        return policy.record_failure(self.now)
+
     def log_warning(self, event: str, **fields: object) -> None:
         self.log.write(event, level=Level.WARNING, **fields)
--- a/src/skylarkcart/gateway/_exchange.py
+++ b/src/skylarkcart/gateway/_exchange.py
@@ -4,15 +4,20 @@
 
 import abc
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from skylarkcart.clock import Millis
-from skylarkcart.gateway._completion import MILLISECONDS_PER_SECOND, RequestCompletion
+from skylarkcart.gateway._completion import (
+    MILLISECONDS_PER_SECOND,
+    STATUS_INTERNAL_ERROR,
+    RequestCompletion,
+)
 from skylarkcart.gateway._core import Core
-from skylarkcart.gateway._pool import Call
+from skylarkcart.gateway._pool import Call, CallResult
 from skylarkcart.gateway._timing import RequestDeadlines
 from skylarkcart.published import Route
 from skylarkcart.types import AccountId
+from skylarkcart.verdict import RunVerdict
 
 # The typical latency of a route's calls is their median.
 MEDIAN_QUANTILE = 0.5
@@ -43,7 +48,35 @@
         self._timer_due_at = due_at
         delay_s = max(0.0, due_at - now) / MILLISECONDS_PER_SECOND
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._handle_timer)
+        self._timer = loop.call_later(
+            delay_s, self._run_step, lambda: self._handle_timer()
+        )
+
+    def _run_step(self, step: Callable[[], None]) -> None:
+        """Runs a step; an unexpected error ends only this request."""
+        try:
+            step()
+        except Exception as error:
+            self._core.record_error(
+                "request", error, request=self._completion.request_text
+            )
+            self._stop()
+            self._completion.send_error(
+                STATUS_INTERNAL_ERROR,
+                "internal_error",
+                verdict=RunVerdict.MAY_HAVE_RUN,
+            )
+
+    def _handle_end(self, call: Call, result: CallResult) -> None:
+        self._run_step(lambda: self._apply_result(call, result))
+
+    @abc.abstractmethod
+    def _apply_result(self, call: Call, result: CallResult) -> None:
+        """Handles the end of a call."""
+
+    @abc.abstractmethod
+    def _stop(self) -> None:
+        """Ends all calls and cancels the timer."""
 
     @abc.abstractmethod
     def _handle_timer(self) -> None:
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -128,7 +128,7 @@
         )
         self._calls[call] = part
 
-    def _handle_end(self, call: Call, result: CallResult) -> None:
+    def _apply_result(self, call: Call, result: CallResult) -> None:
         part = self._calls.pop(call)
         core = self._core
         core.metrics.count_call(result.end)
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -5,8 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable
 
 from skylarkcart.clock import Millis, SystemClock
 from skylarkcart.gateway._caller_connection import CallerConnection
@@ -15,6 +14,7 @@
 from skylarkcart.gateway._peers import PeerLink, StateTransfer
 from skylarkcart.gateway._reader import StoreReader
 from skylarkcart.gateway._requests import RequestService
+from skylarkcart.gateway._supervision import supervise
 from skylarkcart.gateway_settings import GatewaySettings
 
 MAINTENANCE_INTERVAL_S = 0.25
@@ -42,7 +42,7 @@
         )
         self._service = RequestService(core=self._core)
         self._connections: set[CallerConnection] = set()
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._unready_reason: str | None = "starting"
         self._servers: list[asyncio.AbstractServer] = []
 
@@ -68,10 +68,10 @@
             ),
         ]
         self._peer_link = peer_link
-        self._start_task(peer_link.run())
-        self._start_task(transfer.run())
-        self._start_task(StoreReader(core=core).run())
-        self._start_task(self._run_maintenance())
+        self._start_task("reports", peer_link.run)
+        self._start_task("state_transfer", transfer.run)
+        self._start_task("store_reader", StoreReader(core=core).run)
+        self._start_task("maintenance", self._run_maintenance)
         core.log.write(
             "started",
             zone=settings.zone,
@@ -127,22 +127,38 @@
 
     async def _run_maintenance(self) -> None:
         core = self._core
+        # An error of one step must not keep the others from running.
+        steps: tuple[Callable[[], None], ...] = (
+            self._check_connection_timeouts,
+            self._remove_expired_state,
+            lambda: core.pool.close_idle(core.now),
+            core.probe_unreachable,
+            core.log_zone_reachability,
+            core.preconnect,
+            core.update_cold_call_rates,
+            self._refresh_readiness,
+        )
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            now = core.now
-            for connection in list(self._connections):
-                connection.check_timeouts(now)
-            if core.registry.remove_expired(now):
-                core.apply_published_state()
-            core.pool.close_idle(now)
-            core.probe_unreachable()
-            core.log_zone_reachability()
-            core.preconnect()
-            core.update_cold_call_rates()
-            self._update_readiness(core.find_unready_reason(now), now)
-            age_ms = core.registry.get_age_ms(now)
-            core.metrics.state_age.set(age_ms / 1000.0)
-            core.metrics.state_revision.set(core.registry.revision)
+            for step in steps:
+                try:
+                    step()
+                except Exception as error:
+                    core.record_task_error("maintenance", error)
+
+    def _check_connection_timeouts(self) -> None:
+        for connection in list(self._connections):
+            connection.check_timeouts(self._core.now)
+
+    def _remove_expired_state(self) -> None:
+        if self._core.registry.remove_expired(self._core.now):
+            self._core.apply_published_state()
+
+    def _refresh_readiness(self) -> None:
+        core, now = self._core, self._core.now
+        self._update_readiness(core.find_unready_reason(now), now)
+        core.metrics.state_age.set(core.registry.get_age_ms(now) / 1000.0)
+        core.metrics.state_revision.set(core.registry.revision)
 
     def _update_readiness(self, reason: str | None, now: Millis) -> None:
         core = self._core
@@ -157,17 +173,11 @@
             state_age_ms=round(min(1e9, core.registry.get_age_ms(core.now))),
         )
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._handle_task_end)
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        def record_error(error: Exception) -> float:
+            return self._core.record_task_error(name, error)
 
-    def _handle_task_end(self, task: asyncio.Task[Any]) -> None:
-        if task.cancelled():
-            return
-        # The instance can't work without its background tasks; the platform restarts
-        # the process.
-        error = task.exception()
-        self._core.log_warning("part_ended", detail=repr(error))
-        self._core.log.flush()
-        raise SystemExit(1) from error
+        task = asyncio.get_running_loop().create_task(
+            supervise(run, on_error=record_error)
+        )
+        self._tasks.add(task)
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -53,7 +53,11 @@
         except InvalidValueError as error:
             self._core.log_warning("report_unreadable", detail=str(error))
             return
-        self._handle_report(report)
+        try:
+            self._handle_report(report)
+        except Exception as error:
+            # An error that leaves this method would close the socket.
+            self._core.record_error("report", error, peer=report.sender.instance)
 
     def error_received(self, error: OSError) -> None:
         self._core.log.write("report_undelivered", detail=repr(error), limit=5)
@@ -116,7 +120,8 @@
                 core.replicas.apply_peer_unreachable_zones(member.lost_zones, now=now)
         revision = report.sender.revision
         if revision > core.registry.revision:
-            self.peer_is_ahead.set()
+            if core.fleet.list_peers_ahead(core.registry.revision, now):
+                self.peer_is_ahead.set()
         elif report.echo_ms >= 0 and report.confirmed_age_ms >= 0:
             if revision == core.registry.revision:
                 # The peer built its report after receiving the one that it echoes.
@@ -202,6 +207,13 @@
                 )
                 core.apply_published_state()
                 return
+            core.fleet.record_missing_state(peer.instance, core.now)
+            core.log_warning(
+                "peer_has_no_newer_state",
+                peer=peer.instance,
+                stated_revision=peer.revision,
+                revision=core.registry.revision,
+            )
 
     async def _request_state(self, host: str) -> Published | None:
         reader, writer = await asyncio.open_connection(
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -108,7 +108,7 @@
         self._calls.add(call)
         return True
 
-    def _handle_end(self, call: Call, result: CallResult) -> None:
+    def _apply_result(self, call: Call, result: CallResult) -> None:
         core = self._core
         self._calls.discard(call)
         self._call_ends.append(f"{call.upstream}: {result.end.value}")
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -6,7 +6,7 @@
 from skylarkcart.exchange import CallerRequest
 from skylarkcart.gateway._admission import Refusal, admit
 from skylarkcart.gateway._caller_connection import CallerConnection, Exchange
-from skylarkcart.gateway._completion import RequestCompletion
+from skylarkcart.gateway._completion import STATUS_INTERNAL_ERROR, RequestCompletion
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._gather import GatherExchange
 from skylarkcart.gateway._relay import RelayExchange
@@ -35,18 +35,37 @@
     def handle(
         self, connection: CallerConnection, request: CallerRequest, arrived_at: Millis
     ) -> Exchange | None:
-        """Starts a request; returns None if it was refused."""
+        """Starts a request; returns None if it was refused.
+
+        An unexpected error ends only this request.
+        """
         core = self._core
         core.lifecycle.begin_request(arrived_at)
         completion = RequestCompletion(
             core=core, connection=connection, request=request, arrived_at=arrived_at
         )
+        try:
+            return self._start(connection, completion)
+        except Exception as error:
+            core.record_error("request", error, request=completion.request_text)
+            # Calls may have been sent before the error.
+            completion.send_error(
+                STATUS_INTERNAL_ERROR,
+                "internal_error",
+                verdict=RunVerdict.MAY_HAVE_RUN,
+            )
+            return None
+
+    def _start(
+        self, connection: CallerConnection, completion: RequestCompletion
+    ) -> Exchange | None:
+        core = self._core
         admission = admit(
             core,
-            request,
-            arrived_at=arrived_at,
+            completion.request,
+            arrived_at=completion.arrived_at,
             now=core.now,
-            is_on_new_connection=connection.is_new(arrived_at),
+            is_on_new_connection=connection.is_new(completion.arrived_at),
         )
         if isinstance(admission, Refusal):
             completion.send_error(
@@ -59,6 +78,7 @@
             return None
         route = admission.route
         completion.route_name = route.name
+        core.record_request(route, completion.arrived_at)
         exchange: GatherExchange | RelayExchange
         if route.gathering is not None:
             completion.kind = "gather"
--- /dev/null
+++ b/src/skylarkcart/gateway/_supervision.py
@@ -0,0 +1,58 @@
+"""Restarts of background tasks after unexpected errors."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from skylarkcart.clock import Millis
+
+# Delay before a restart. It doubles with each further failure.
+INITIAL_RESTART_DELAY_MS = 100.0
+MAX_RESTART_DELAY_MS = 3_000.0
+
+# A task that has run for this time since its last failure counts as healthy again.
+HEALTHY_AFTER_MS = 6_000.0
+
+# Failures without a healthy time between them after which the instance is unready.
+MAX_FAILURES = 5
+
+
+class RestartPolicy:
+    """The failures of one background task, and what follows from them."""
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._failed_at = Millis(float("-inf"))
+
+    def record_failure(self, now: Millis) -> float:
+        """Records a failure and returns the delay before the restart in ms."""
+        if now - self._failed_at > HEALTHY_AFTER_MS:
+            self._failures = 0
+        self._failures += 1
+        self._failed_at = now
+        # The exponent is bounded because a task may fail for a long time.
+        doublings = min(self._failures - 1, MAX_FAILURES)
+        return min(MAX_RESTART_DELAY_MS, INITIAL_RESTART_DELAY_MS * 2**doublings)
+
+    def is_failing(self, now: Millis) -> bool:
+        """Whether the task has failed in each of its latest rounds."""
+        return (
+            self._failures >= MAX_FAILURES and now - self._failed_at <= HEALTHY_AFTER_MS
+        )
+
+
+async def supervise(
+    run: Callable[[], Awaitable[None]], *, on_error: Callable[[Exception], float]
+) -> None:
+    """Runs a task and restarts it after errors, until cancelled.
+
+    ``on_error`` records an error and returns the delay before the restart in
+    milliseconds.
+    """
+    while True:
+        try:
+            await run()
+            return
+        except Exception as error:
+            await asyncio.sleep(on_error(error) / 1000.0)
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -171,14 +171,24 @@
             self._removals.clear()
             self._removal_history_start = published.revision
         for lapsed in published.lapsed:
-            if lapsed.entry.upstream not in self._entries:
-                registered = RegisteredUpstream(entry=lapsed.entry, first_seen_at=now)
-                expires_at = Millis(now + lapsed.left_ms)
-                self._lapsed.setdefault(lapsed.entry.upstream, (registered, expires_at))
+            self._adopt_lapsed_entry(lapsed, now)
         self.revision = published.revision
         self._store_was_unreachable = False
         return True
 
+    def _adopt_lapsed_entry(self, lapsed: LapsedEntry, now: Millis) -> None:
+        """Keeps an entry that lapsed at a peer for the time that is left to it.
+
+        No entry is kept longer than one that lapses here, and one whose time has passed
+        is not kept at all.
+        """
+        upstream = lapsed.entry.upstream
+        if upstream in self._entries or not lapsed.left_ms > 0:
+            return
+        registered = RegisteredUpstream(entry=lapsed.entry, first_seen_at=now)
+        left_ms = min(lapsed.left_ms, LAPSED_ENTRY_GRACE_MS)
+        self._lapsed.setdefault(upstream, (registered, Millis(now + left_ms)))
+
     def confirm(self, at: Millis) -> None:
         """Records that the state was current at a time."""
         if self.confirmed_at is None or at > self.confirmed_at:
