Answer everything that was read before a draining process ends

Change: DrainSchedule says until when a request may begin, from when idle connections are closed and when running requests get their final response. A request that can't be finished is refused, unrun, with a Retry-After. After listening has stopped, what accepted connections still send is answered. Ruled out: closing all connections at once, which crosses requests on their way.

--- a/src/skylarkcart/gateway/_admission.py
+++ b/src/skylarkcart/gateway/_admission.py
@@ -6,7 +6,7 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import CallerRequest
-from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._core import MIN_RETRY_AFTER_MS, Core
 from skylarkcart.gateway._timing import RequestDeadlines
 from skylarkcart.published import Route
 from skylarkcart.types import AccountId
@@ -73,6 +73,13 @@
         margin_ms=core.response_delays.get_margin_ms(),
         is_on_new_connection=is_on_new_connection,
     )
+    if core.drain is not None:
+        target_latency_ms = route.target_latency_ms or route.timeout_ms
+        if not core.drain.may_begin(now, target_latency_ms=target_latency_ms):
+            return Refusal(
+                status=503, reason="draining", retry_after_ms=MIN_RETRY_AFTER_MS
+            )
+        deadlines = deadlines.limit_to(core.drain.ends_at)
     if not table.needs_key(route):
         return AdmittedRequest(route=route, account=None, deadlines=deadlines)
     if not core.has_current_keys(now):
--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -29,6 +29,9 @@
     def abandon(self) -> None:
         """Stops processing after the caller has disconnected."""
 
+    def expire(self) -> None:
+        """Responds now with what there is, as the process is about to end."""
+
 
 class CallerService(Protocol):
     """What a caller connection requires of its instance."""
@@ -142,8 +145,19 @@
         elif self.is_idle and waited_ms > self._limits.idle_timeout_ms:
             self._close()
 
-    def close_if_idle(self) -> None:
-        if self.is_idle:
+    def expire(self) -> None:
+        """Ends the request in progress with a final response."""
+        if self._exchange is not None:
+            self._exchange.expire()
+
+    def close_if_idle(self, *, min_idle_ms: float = 0.0) -> None:
+        """Closes the connection if no request is in progress or being read.
+
+        A connection that was opened or used within ``min_idle_ms`` stays open, since
+        its next request may be on the way.
+        """
+        idle_ms = self._service.clock.now() - self._last_active_at
+        if self.is_idle and not self._is_closing and idle_ms >= min_idle_ms:
             self._close()
 
     def on_message_begin(self) -> None:
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -15,7 +15,7 @@
 from skylarkcart.gateway._supervision import RestartPolicy
 from skylarkcart.gateway._timing import ElapsedTimeEstimator, ResponseDelayEstimator
 from skylarkcart.gateway_settings import GatewaySettings
-from skylarkcart.lifecycle import Lifecycle
+from skylarkcart.lifecycle import DrainSchedule, Lifecycle
 from skylarkcart.published import CallerLimits, Route
 from skylarkcart.quotas import INITIAL_FILL_FRACTION, Quotas
 from skylarkcart.registry import Registry, RegistryEvent
@@ -91,6 +91,7 @@
         self.log = EventLog(clock=clock, instance=settings.instance)
         self.metrics = GatewayMetrics()
         self.lifecycle = Lifecycle(linger_ms=DRAIN_LINGER_MS, quiet_ms=DRAIN_QUIET_MS)
+        self.drain: DrainSchedule | None = None
         self.registry = Registry(on_event=self._record_event)
         self.replicas = Replicas(zone=settings.zone, random=random)
         self.quotas = Quotas(
@@ -161,6 +162,17 @@
         until_detection_ms = self.unready_since + BALANCER_DETECTION_MS - now
         return max(MIN_RETRY_AFTER_MS, until_detection_ms)
 
+    def begin_drain(self) -> DrainSchedule:
+        """Fails readiness and fixes when the process ends; callable once."""
+        now = self.now
+        self.lifecycle.begin_drain(now)
+        self.drain = DrainSchedule(
+            started_at=now,
+            grace_ms=self.settings.bounds.shutdown_grace_ms,
+            linger_ms=DRAIN_LINGER_MS,
+        )
+        return self.drain
+
     def has_current_keys(self, now: Millis) -> bool:
         """Whether published state is recent enough to include key revocations."""
         limit_ms = self.settings.bounds.key_revocation_ms - CONFIRMATION_MARGIN_MS
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -93,6 +93,11 @@
         self._stop()
         self._completion.abandon(answered=self._execution.answered_count)
 
+    def expire(self) -> None:
+        """Responds with the parts that have arrived."""
+        self._execution.hard_deadline = self._core.now
+        self._advance()
+
     def _choose_replica(self, part: Part) -> Replica | None:
         return self._core.choose_replica(
             part.shard,
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -16,6 +16,7 @@
 from skylarkcart.gateway._requests import RequestService
 from skylarkcart.gateway._supervision import supervise
 from skylarkcart.gateway_settings import GatewaySettings
+from skylarkcart.lifecycle import DrainSchedule
 
 MAINTENANCE_INTERVAL_S = 0.25
 STOP_POLL_INTERVAL_S = 0.05
@@ -23,9 +24,16 @@
 # Pending connections in the listen queue while the process is busy.
 ACCEPT_BACKLOG = 1_024
 
-# Time reserved for closing connections and flushing the log before the platform sends
-# SIGKILL.
-STOP_MARGIN_MS = 700.0
+# While draining, an idle connection is closed after this time without a request.
+DRAIN_MAX_IDLE_MS = 300.0
+
+# After listening has stopped, the requests of connections that were just accepted are
+# still read and answered for this time.
+SETTLE_MS = 200.0
+SETTLE_MAX_IDLE_MS = 100.0
+
+# Time for sending the last responses before the process ends.
+FLUSH_MS = 300.0
 
 
 class GatewayInstance:
@@ -91,24 +99,43 @@
     async def drain_and_stop(self) -> None:
         """Fails readiness, completes running requests and closes connections."""
         core = self._core
-        started_at = core.now
-        core.lifecycle.begin_drain(started_at)
+        drain = core.begin_drain()
         core.log.write("draining", running=core.lifecycle.running)
         self._peer_link.send_reports()
-        limit_ms = core.settings.bounds.shutdown_grace_ms - STOP_MARGIN_MS
-        while not core.lifecycle.may_stop(core.now):
-            if core.now - started_at > limit_ms:
-                break
+        while not core.lifecycle.may_stop(core.now) and not drain.has_ended(core.now):
+            if core.now >= drain.closes_idle_from:
+                self._close_idle_connections(min_idle_ms=DRAIN_MAX_IDLE_MS)
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        self._servers[0].close()
+        await self._answer_accepted_connections(drain)
         for connection in list(self._connections):
-            connection.close_if_idle()
-        while core.lifecycle.running and core.now - started_at <= limit_ms:
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+            connection.expire()
+        self._close_idle_connections(min_idle_ms=0.0)
+        await self._wait_until_closed(Millis(core.now + FLUSH_MS))
         self.stop_immediately()
         core.log.write("stopped", running=core.lifecycle.running)
         core.log.flush()
 
+    async def _answer_accepted_connections(self, drain: DrainSchedule) -> None:
+        """Stops listening and answers what accepted connections still send."""
+        core = self._core
+        self._servers[0].close()
+        settled_at = core.now + SETTLE_MS
+        while self._connections and (
+            core.now < settled_at
+            or (core.lifecycle.running and not drain.has_ended(core.now))
+        ):
+            self._close_idle_connections(min_idle_ms=SETTLE_MAX_IDLE_MS)
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+
+    def _close_idle_connections(self, *, min_idle_ms: float) -> None:
+        for connection in list(self._connections):
+            connection.close_if_idle(min_idle_ms=min_idle_ms)
+
+    async def _wait_until_closed(self, deadline: Millis) -> None:
+        """Waits until the caller connections have sent their last bytes."""
+        while self._connections and self._core.now < deadline:
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+
     def stop_immediately(self) -> None:
         """Closes all sockets without waiting for running requests."""
         for task in self._tasks:
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -79,6 +79,11 @@
         self._stop()
         self._completion.abandon(tried=self._tried, ends=self._call_ends)
 
+    def expire(self) -> None:
+        """Responds without waiting for the pending calls."""
+        if not self._completion.is_done:
+            self._fail_on_timeout()
+
     def _call(self) -> bool:
         core = self._core
         typical_ms = self._latency.get_quantile(MEDIAN_QUANTILE)
--- a/src/skylarkcart/gateway/_timing.py
+++ b/src/skylarkcart/gateway/_timing.py
@@ -63,6 +63,14 @@
     hard_deadline: Millis
     is_retry: bool
 
+    def limit_to(self, latest: Millis) -> RequestDeadlines:
+        """Returns the deadlines with none later than ``latest``."""
+        return msgspec.structs.replace(
+            self,
+            soft_deadline=Millis(min(self.soft_deadline, latest)),
+            hard_deadline=Millis(min(self.hard_deadline, latest)),
+        )
+
 
 class ResponseDelayEstimator:
     """Estimates how long after its due time a response is sent.
