Open connections ahead only for routes that are used here

Change: services of routes with a request in the last 10 s get a connection ahead. Ruled out: none ahead, since the first search after a repartition would connect to every shard.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -60,6 +60,10 @@
 # requests.
 MAX_PRECONNECTS_PER_CHECK = 16
 
+# A route is in use for this time after a request. Upstreams close connections that are
+# idle for about as long.
+RECENT_REQUEST_MS = 10_000.0
+
 # Latency assumed before the first call of a route, as a fraction of its target latency.
 INITIAL_LATENCY_FRACTION = 0.3
 
@@ -123,7 +127,7 @@
         # store is assumed to reach it.
         self.reaches_store = True
         self._used_services: frozenset[ServiceId] = frozenset()
-        self._preconnected_services: set[ServiceId] = set()
+        self._last_requests_at: dict[str, Millis] = {}
         self._unreachable_zones: frozenset[ZoneId] = frozenset()
         self._last_degraded_at = Millis(float("-inf"))
         self._route_weights: dict[str, float] = {}
@@ -186,7 +190,6 @@
         if configuration is not None and configuration is not current:
             self.table = RouteTable(configuration=configuration, random=self.random)
             self._used_services = self.table.list_reachable_services()
-            self._preconnected_services &= self._used_services
             self.quotas.configure(self.table.accounts, now)
             self.update_cold_call_rates()
             self._remove_unused_routes()
@@ -343,19 +346,16 @@
         self._unreachable_zones = zones
 
     def preconnect(self) -> None:
-        """Opens a connection to each service that has none, a few per call.
+        """Opens a connection to each service of the routes in use, a few per call.
 
         Otherwise, the first requests after a repartition would each open a connection
-        to every shard. Closed connections are reopened only for services that still
-        receive requests.
+        to every shard. A service of a route without recent requests here gets no
+        connection: the load balancer routes each caller to one instance, so that many
+        instances of a large fleet have no callers, and upstreams limit the connections
+        of the whole fleet.
         """
         opened = 0
-        for service in self._used_services:
-            if (
-                service in self._preconnected_services
-                and not self._has_recent_requests(service)
-            ):
-                continue
+        for service in self._list_recently_used_services():
             replicas = self.replicas.list_replicas(service)
             if not replicas or any(map(self.pool.has_connection, replicas)):
                 continue
@@ -366,13 +366,26 @@
                 and not chosen.is_at_connection_limit(self.now)
             ):
                 self.pool.preconnect(chosen)
-                self._preconnected_services.add(service)
                 opened += 1
             if opened == MAX_PRECONNECTS_PER_CHECK:
                 return
 
-    def _has_recent_requests(self, service: ServiceId) -> bool:
-        return self._count_recent_requests(service, self.now) > 0
+    def record_request(self, route: Route, now: Millis) -> None:
+        """Records that a request of a route is served here."""
+        self._last_requests_at[route.name] = now
+
+    def _list_recently_used_services(self) -> tuple[ServiceId, ...]:
+        if self.table is None:
+            return ()
+        oldest = self.now - RECENT_REQUEST_MS
+        return tuple(
+            dict.fromkeys(
+                service
+                for route in self.table.configuration.routes
+                if self._last_requests_at.get(route.name, oldest) > oldest
+                for service in list_services(route)
+            )
+        )
 
     def _count_recent_requests(self, service: ServiceId, now: Millis) -> int:
         budget = self._extra_calls.get(service)
@@ -401,6 +414,8 @@
         names = {route.name for route in self.table.configuration.routes}
         for name in set(self._latencies) - names:
             del self._latencies[name]
+        for name in set(self._last_requests_at) - names:
+            del self._last_requests_at[name]
         for service in set(self._extra_calls) - self._used_services:
             # Extra calls count against the budget until their window ends, even if no
             # route refers to the service any more.
