Accept confirmation from any peer that is not ahead

Cause: a peer's report confirmed the state only at equal revisions. While 189 upstreams register, hardly two instances have the same revision, so that each read the store. Change: a confirmed report of a peer at the same or an older revision confirms: at that moment there was no change after the peer's revision, and this instance has all up to it. Ruled out: confirmation by a peer that is ahead, which may know of a revoked key.

--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -122,11 +122,12 @@
             if core.fleet.list_peers_ahead(core.registry.revision, now):
                 self.peer_is_ahead.set()
         elif report.echo_ms >= 0 and report.confirmed_age_ms >= 0:
-            if revision == core.registry.revision:
-                # The peer built its report after receiving the one that it echoes.
-                core.registry.confirm(
-                    Millis(min(now, report.echo_ms) - report.confirmed_age_ms)
-                )
+            # At the confirmed time, there was no change after the peer's revision, and
+            # this instance has all changes up to it. The peer built its report after
+            # receiving the one that it echoes.
+            core.registry.confirm(
+                Millis(min(now, report.echo_ms) - report.confirmed_age_ms)
+            )
         if report.wants_reply:
             own_state = self._build_own_state(now)
             self._send(own_state, report.sender.host, now, wants_reply=False)
