Let the soak's upstreams send cut, doubled and endless responses

Cause: the soak's upstreams could only lose a response. Change: a part of the responses of one or four upstreams is lost, cut at any byte, sent twice with a delay, or replaced by a head or a body without end; the gateways have 200 MB, and a process that ever used more breaks a promise (MEMORY).

--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -61,6 +61,12 @@
     ) -> Response | bytes | None:
         raise AssertionError("subclasses override handle()")
 
+    async def send(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+        """Sends a response and returns whether the connection stays open."""
+        writer.write(data)
+        await writer.drain()
+        return True
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -79,8 +85,9 @@
                     writer.write(response)
                     break
                 status, fields, content = response
-                writer.write(encode(f"HTTP/1.1 {status} x", fields, content))
-                await writer.drain()
+                data = encode(f"HTTP/1.1 {status} x", fields, content)
+                if not await self.send(writer, data):
+                    break
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             # The client closed its connection, or the event loop is stopping.
             return
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import os
 import pathlib
 import random
@@ -31,6 +32,11 @@
 CALLER_TIMEOUT_S = 4.0
 STOP_GRACE_S = 6.0
 
+# Memory of the smallest machines of the operators.
+MEMORY_MB = 200
+ENDLESS_CHUNK = b"x" * 65_536
+MAX_COPY_DELAY_S = 0.05
+
 SETTINGS = """
 nodeName = "{name}"
 ip = "{host}"
@@ -45,19 +51,32 @@
 front = "{host}:8363"
 ready = "{host}:8364"
 control = "{host}:8360"
+[limits]
+memoryMb = {memory_mb}
 [platform]
 address = "127.0.0.1:{store}"
 """
 
 
+class ResponseFault(enum.Enum):
+    """What an upstream does to a part of its responses."""
+
+    LOST = "lost"
+    CUT = "cut at any byte"
+    SECOND_COPY = "second copy"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_BODY = "endless body"
+
+
 class RecordingUpstream(UpstreamStandin):
-    """Records the requests that it runs, and loses a part of its responses."""
+    """Records the requests that it runs, and spoils a part of its responses."""
 
     def __init__(self, *, ledger: Ledger, rng: random.Random, **options: str) -> None:
         super().__init__(**options)
         self._ledger = ledger
         self._rng = rng
-        self.response_loss_ratio = 0.0
+        self.fault_ratio = 0.0
+        self.fault = ResponseFault.LOST
 
     async def handle(self, method: str, target: str, headers: Headers, body: bytes):
         answer = await super().handle(method, target, headers, body)
@@ -75,10 +94,34 @@
                 carried_key=any(value in KEY_ACCOUNTS for value in headers.values()),
             )
         )
-        if self._rng.random() < self.response_loss_ratio:
-            return None
         return status, fields, content
 
+    async def send(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+        if self._rng.random() >= self.fault_ratio:
+            return await super().send(writer, data)
+        match self.fault:
+            case ResponseFault.CUT:
+                writer.write(data[: self._rng.randrange(len(data))])
+            case ResponseFault.SECOND_COPY:
+                writer.write(data)
+                delay_s = self._rng.uniform(0.0, MAX_COPY_DELAY_S)
+                asyncio.get_running_loop().call_later(delay_s, writer.write, data)
+                return True
+            case ResponseFault.ENDLESS_HEAD:
+                await _send_without_end(writer, b"HTTP/1.1 200 OK\r\nX-Padding: ")
+            case ResponseFault.ENDLESS_BODY:
+                head, _, _ = data.partition(b"Content-Length")
+                await _send_without_end(writer, head + b"\r\n")
+        return False
+
+
+async def _send_without_end(writer: asyncio.StreamWriter, start: bytes) -> None:
+    """Sends until the connection is closed."""
+    writer.write(start)
+    while True:
+        await writer.drain()
+        writer.write(ENDLESS_CHUNK)
+
 
 class SoakEnvironment:
     """The gateway processes, by number, and the services and callers around them."""
@@ -161,6 +204,7 @@
                 seed=self._hosts[0],
                 bootstrap=str(is_first).lower(),
                 store=self.store_proxy.port,
+                memory_mb=MEMORY_MB,
             )
         )
         process_environment = {
@@ -200,6 +244,22 @@
             await asyncio.sleep(pause_s)
             self.start_gateway(number)
 
+    def list_memory_violations(self) -> list[str]:
+        """Returns the running gateways that ever exceeded their memory."""
+        violations = []
+        for number, process in self._processes.items():
+            if process.poll() is not None:
+                continue
+            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+            peak_kb = next(
+                int(line.split()[1])
+                for line in status.splitlines()
+                if line.startswith("VmHWM")
+            )
+            if peak_kb > MEMORY_MB * 1_000:
+                violations.append(f"MEMORY gateway-{number} used {peak_kb} KB")
+        return violations
+
     def start_callers(self) -> None:
         loop = asyncio.get_running_loop()
         self._tasks = [
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,7 +13,12 @@
 
 import msgspec
 
-from tests.soak.environment import GATEWAY_COUNT, STOP_GRACE_S, SoakEnvironment
+from tests.soak.environment import (
+    GATEWAY_COUNT,
+    STOP_GRACE_S,
+    ResponseFault,
+    SoakEnvironment,
+)
 from tests.soak.proxy import Fault
 
 FAULT_PHASE_S = 8.0
@@ -91,12 +96,16 @@
     proxy.set_fault(Fault.NONE)
 
 
-async def lose_answers(environment: SoakEnvironment) -> None:
-    """Makes an upstream drop the responses to a part of the requests that it runs."""
-    upstream = environment.rng.choice(list(environment.upstreams.values()))
-    upstream.response_loss_ratio = 0.2
+async def spoil_responses(environment: SoakEnvironment) -> None:
+    """Makes one or several upstreams spoil a part of their responses."""
+    upstreams = list(environment.upstreams.values())
+    fault = environment.rng.choice(list(ResponseFault))
+    affected = environment.rng.sample(upstreams, environment.rng.choice((1, 1, 4)))
+    for upstream in affected:
+        upstream.fault, upstream.fault_ratio = fault, 0.2
     await asyncio.sleep(environment.rng.uniform(0.5, 3.0))
-    upstream.response_loss_ratio = 0.0
+    for upstream in affected:
+        upstream.fault_ratio = 0.0
 
 
 async def reconfigure(environment: SoakEnvironment) -> None:
@@ -136,7 +145,8 @@
     trouble_store,
     trouble_upstream,
     trouble_upstream,
-    lose_answers,
+    spoil_responses,
+    spoil_responses,
     reconfigure,
     withdraw_key,
     replace_upstream,
@@ -163,6 +173,7 @@
         recovered_at = time.monotonic()
         await asyncio.sleep(RECOVERY_PHASE_S - SETTLE_S)
         violations = _check_recovery(environment, recovered_at)
+        violations += environment.list_memory_violations()
     finally:
         await environment.stop()
     violations += environment.ledger.list_violations()
