--- a/src/skylarkcart/budgets/_extra_calls.py
+++ b/src/skylarkcart/budgets/_extra_calls.py
@@ -5,6 +5,8 @@
 import collections
 import enum
 
+import msgspec
+
 from skylarkcart.clock import Millis
 
 WINDOW_BUCKETS = 20
@@ -13,6 +15,11 @@
 # arrive in the same one. An instance therefore uses only this fraction of its limit.
 USABLE_RATIO = 0.95
 
+# Fractions of the slack that are divided equally and by traffic. The rest covers
+# callers that move to other instances: both may use the same part in one window.
+EQUAL_FRACTION = 0.25
+TRAFFIC_FRACTION = 0.70
+
 # Fraction of the budget that hedges may use. The rest is reserved for retries, without
 # which a request with a failed call gets no answer at all.
 HEDGE_BUDGET_RATIO = 0.9
@@ -25,20 +32,40 @@
     RETRY = "retry"
 
 
+class FleetShare(msgspec.Struct, frozen=True, kw_only=True):
+    """This instance's share of the fleet.
+
+    ``size`` is the number of instances and ``traffic`` this one's fraction of their
+    requests. A load balancer that hashes callers leaves many instances of a large fleet
+    without requests; equal shares alone would leave theirs unused.
+    """
+
+    size: int
+    traffic: float
+
+    @property
+    def fraction(self) -> float:
+        """The fraction of what the fleet may use in all."""
+        equal = EQUAL_FRACTION / max(1, self.size)
+        return equal + TRAFFIC_FRACTION * self.traffic
+
+
 class ExtraCallBudget:
     """The budget for extra calls of one service in this instance.
 
     In each window, the fleet may make ``ratio`` extra calls per request and ``slack``
-    more. Each instance applies the ratio to its own requests and takes an equal share
-    of the slack, so that it needs no coordination before a call. In a large fleet that
-    share is a small number of calls with a fraction. ``min_fraction``, above 0 and at
+    more. Each instance applies the ratio to its own requests and takes a share of the
+    slack by its size and traffic (`FleetShare`), so that it needs no coordination
+    before a call. In a large fleet that share is a small number of calls with a
+    fraction. ``min_fraction``, above 0 and at
     most 1, is the lowest fraction that allows another call. If each instance draws it
     at random, the fleet uses the sum of all fractions.
 
     >>> budget = ExtraCallBudget(
     ...     ratio=0.2, slack=56, window_ms=10_000, min_fraction=1.0, now=Millis(0)
     ... )
-    >>> budget.try_spend(ExtraCallKind.RETRY, now=Millis(1), fleet_size=8)
+    >>> share = FleetShare(size=8, traffic=0.125)
+    >>> budget.try_spend(ExtraCallKind.RETRY, now=Millis(1), share=share)
     True
     """
 
@@ -79,22 +106,22 @@
         self._advance_window(now)
         return self._requests
 
-    def get_remaining_calls(self, *, now: Millis, fleet_size: int) -> float:
+    def get_remaining_calls(self, *, now: Millis, share: FleetShare) -> float:
         """Returns how many extra calls this instance may still make in this window."""
         self._advance_window(now)
         # A previous process may have used its share just before it ended.
         elapsed_ratio = min(1.0, (now - self._started_at) / self._window_ms)
-        slack = self._slack / max(1, fleet_size) * (0.5 + 0.5 * elapsed_ratio)
+        slack = self._slack * share.fraction * (0.5 + 0.5 * elapsed_ratio)
         return USABLE_RATIO * (self._ratio * self._requests + slack) - self._extra_calls
 
-    def get_unused_fraction(self, *, now: Millis, fleet_size: int) -> float:
+    def get_unused_fraction(self, *, now: Millis, share: FleetShare) -> float:
         """Returns the unused fraction of the budget, from 0 to 1."""
-        remaining = self.get_remaining_calls(now=now, fleet_size=fleet_size)
+        remaining = self.get_remaining_calls(now=now, share=share)
         return max(0.0, remaining / max(1.0, remaining + self._extra_calls))
 
-    def try_spend(self, kind: ExtraCallKind, *, now: Millis, fleet_size: int) -> bool:
+    def try_spend(self, kind: ExtraCallKind, *, now: Millis, share: FleetShare) -> bool:
         """Records an extra call and returns True if the budget allows it."""
-        remaining = self.get_remaining_calls(now=now, fleet_size=fleet_size)
+        remaining = self.get_remaining_calls(now=now, share=share)
         if kind is ExtraCallKind.HEDGE:
             remaining -= (1 - HEDGE_BUDGET_RATIO) * (remaining + self._extra_calls)
         if remaining < self._min_fraction:
--- a/src/skylarkcart/fleet/__init__.py
+++ b/src/skylarkcart/fleet/__init__.py
@@ -4,6 +4,7 @@
 
 from skylarkcart.fleet._fleet import REPORT_INTERVAL_MS, Fleet, OwnState, Peer
 from skylarkcart.fleet._report import (
+    UNKNOWN_RATE,
     Member,
     Report,
     decode_report,
@@ -17,6 +18,7 @@
     "Peer",
     "REPORT_INTERVAL_MS",
     "Report",
+    "UNKNOWN_RATE",
     "decode_report",
     "encode_report",
 ]
--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from skylarkcart.clock import Millis
-from skylarkcart.fleet._report import Member, Report
+from skylarkcart.fleet._report import UNKNOWN_RATE, Member, Report
 from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
 
 REPORT_INTERVAL_MS = 200.0
@@ -81,6 +81,7 @@
     spending: Mapping[AccountId, Spending]
     slow_calls: tuple[SlowCall, ...] = ()
     lost_zones: tuple[ZoneId, ...] = ()
+    requests_per_s: float = UNKNOWN_RATE
 
 
 class Fleet:
@@ -181,6 +182,7 @@
             spending=dict(own.spending),
             slow_calls=own.slow_calls,
             lost_zones=own.lost_zones,
+            requests_per_s=own.requests_per_s,
         )
         return Report(
             sender=sender,
@@ -201,6 +203,22 @@
         responsive = 1 + len(self._list_responsive_peers(now))
         return responsive / max(responsive, self.estimated_size)
 
+    def get_traffic_fraction(self, requests_per_s: float) -> float:
+        """Returns this instance's fraction of the fleet's requests.
+
+        An instance whose rate is unknown is taken for as busy as this one, so that
+        instances that start together don't each take the whole.
+        """
+        if requests_per_s < 0:
+            return 1.0 / self.estimated_size
+        if requests_per_s == 0:
+            return 0.0
+        rates = [peer.member.requests_per_s for peer in self.peers.values()]
+        known = sum(rate for rate in rates if rate >= 0)
+        unknown = self.estimated_size - 1 - sum(rate >= 0 for rate in rates)
+        total = known + (1 + max(0, unknown)) * requests_per_s
+        return requests_per_s / total
+
     def is_reader(
         self, now: Millis, *, state_age_ms: float, reaches_store: bool
     ) -> bool:
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -17,12 +17,16 @@
 MAX_COUNT = 2**63 - 1
 
 
+UNKNOWN_RATE = -1.0
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """An instance's description of itself, made ``age_ms`` before the report was sent.
 
     ``sequence`` increases with each description of an incarnation. ``reaches_store`` is
     False if its last call to the store failed. ``lost_zones`` are the zones whose
-    upstreams it can't reach.
+    upstreams it can't reach. ``requests_per_s`` is its recent rate of requests,
+    negative if it has not counted them for long enough.
     """
 
     instance: InstanceId
@@ -37,6 +41,7 @@
     spending: dict[AccountId, Spending]
     slow_calls: tuple[SlowCall, ...] = ()
     lost_zones: tuple[ZoneId, ...] = ()
+    requests_per_s: float = UNKNOWN_RATE
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -113,6 +118,8 @@
     _check_in_range("age", member.age_ms, MAX_AGE_MS)
     for name in ("incarnation", "sequence", "revision"):
         _check_in_range(name, getattr(member, name), MAX_COUNT)
+    if member.requests_per_s != UNKNOWN_RATE:
+        _check_in_range("request rate", member.requests_per_s, MAX_COUNT)
     for spent in member.spending.values():
         _check_in_range("spending", spent.total, MAX_COUNT)
         _check_in_range("earlier spending", spent.earlier, spent.total)
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -5,9 +5,14 @@
 import random
 import traceback
 
-from skylarkcart.budgets import ExtraCallBudget, ExtraCallKind
+from skylarkcart.budgets import (
+    ExtraCallBudget,
+    ExtraCallKind,
+    FleetShare,
+    RequestRate,
+)
 from skylarkcart.clock import Clock, Millis
-from skylarkcart.fleet import Fleet
+from skylarkcart.fleet import UNKNOWN_RATE, Fleet
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
@@ -135,6 +140,11 @@
         self.unready_since: Millis | None = None
         self._background_tasks: dict[str, RestartPolicy] = {}
         self._extra_calls: dict[ServiceId, ExtraCallBudget] = {}
+        self._request_rate = RequestRate(
+            window_ms=settings.bounds.extra_calls_window_ms, now=clock.now()
+        )
+        self.fleet_share = FleetShare(size=self.fleet.estimated_size, traffic=0.0)
+        self.update_fleet_share()
         self._latencies: dict[str, RouteLatency] = {}
 
     @property
@@ -232,7 +242,7 @@
     def try_extra_call(self, service: ServiceId, kind: ExtraCallKind) -> bool:
         """Takes one call from a service's extra-call budget if any is left."""
         granted = self.get_extra_calls(service).try_spend(
-            kind, now=self.now, fleet_size=self.fleet.estimated_size
+            kind, now=self.now, share=self.fleet_share
         )
         self.metrics.count_extra_call(kind, granted=granted)
         return granted
@@ -240,7 +250,7 @@
     def get_unused_extra_call_fraction(self, service: ServiceId) -> float:
         """Returns the unused fraction of a service's extra-call budget."""
         return self.get_extra_calls(service).get_unused_fraction(
-            now=self.now, fleet_size=self.fleet.estimated_size
+            now=self.now, share=self.fleet_share
         )
 
     def choose_replica(
@@ -373,6 +383,19 @@
     def record_request(self, route: Route, now: Millis) -> None:
         """Records that a request of a route is served here."""
         self._last_requests_at[route.name] = now
+        self._request_rate.record(now)
+
+    def get_request_rate(self) -> float:
+        """Returns the requests per second as reported to peers."""
+        rate = self._request_rate.get_per_s(self.now)
+        return UNKNOWN_RATE if rate is None else rate
+
+    def update_fleet_share(self) -> None:
+        """Updates the fraction of the fleet's budgets that this instance may use."""
+        self.fleet_share = FleetShare(
+            size=self.fleet.estimated_size,
+            traffic=self.fleet.get_traffic_fraction(self.get_request_rate()),
+        )
 
     def _list_recently_used_services(self) -> tuple[ServiceId, ...]:
         if self.table is None:
@@ -408,7 +431,7 @@
         if service is None or service.max_connections <= 0:
             return replica.entry.slots
         usable = CONNECTION_LIMIT_FRACTION * service.max_connections
-        return max(1, int(usable / self.fleet.estimated_size))
+        return max(1, int(usable * self.fleet_share.fraction))
 
     def _remove_unused_routes(self) -> None:
         names = {route.name for route in self.table.configuration.routes}
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -100,6 +100,7 @@
             spending=core.quotas.build_report(now),
             slow_calls=core.replicas.list_slow_calls(now),
             lost_zones=core.replicas.list_locally_unreachable_zones(),
+            requests_per_s=round(core.get_request_rate(), 2),
         )
 
     def _handle_report(self, report: Report) -> None:
@@ -143,6 +144,7 @@
             zone = core.fleet.peers[instance].member.zone
             core.log.write("peer_found", peer=instance, zone=zone)
         self._known_peers = known_peers
+        core.update_fleet_share()
         core.quotas.reachable_fraction = core.fleet.get_reachable_fraction(now)
         core.metrics.peers.set(len(known_peers))
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -10,6 +10,7 @@
 from skylarkcart.clock import Millis
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.fleet import (
+    UNKNOWN_RATE,
     Fleet,
     OwnState,
     Report,
@@ -234,3 +235,27 @@
     assert len(data) < 65_536
     with pytest.raises(InvalidValueError):
         decode_report(data)
+
+
+def test_traffic_fraction_follows_the_reported_rates() -> None:
+    fleet, busy, idle = build_fleet(0), build_fleet(1), build_fleet(2)
+    exchange(fleet, busy, requests_per_s=6.0)
+    exchange(fleet, idle, requests_per_s=0.0)
+    known = fleet.estimated_size - 3
+    assert fleet.get_traffic_fraction(0.0) == 0.0
+    # Instances that are assumed but not known count as being as busy as this one.
+    assert fleet.get_traffic_fraction(2.0) == 2.0 / (2.0 + 6.0 + 0.0 + 2.0 * known)
+
+
+def test_instances_that_start_together_take_equal_shares() -> None:
+    """After a restart of all, each knows only its own requests."""
+    fleet = build_fleet(0)
+    for index in range(1, 8):
+        exchange(fleet, build_fleet(index), requests_per_s=UNKNOWN_RATE)
+    size = fleet.estimated_size
+    assert fleet.get_traffic_fraction(UNKNOWN_RATE) == 1.0 / size
+    assert fleet.get_traffic_fraction(5.0) == pytest.approx(1.0 / size)
+
+
+def exchange(receiver: Fleet, sender: Fleet, **fields: object) -> None:
+    receiver.apply_report(build_report(sender, 1_000, 0, **fields), Millis(1_000))
