--- a/src/skylarkcart/gateway/_exchange.py
+++ b/src/skylarkcart/gateway/_exchange.py
@@ -45,6 +45,8 @@
         self._timer_due_at = deadlines.hard_deadline
 
     def _start_timer(self, due_at: Millis, now: Millis) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
         self._timer_due_at = due_at
         delay_s = max(0.0, due_at - now) / MILLISECONDS_PER_SECOND
         loop = asyncio.get_running_loop()
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -99,10 +99,16 @@
         self._advance()
 
     def _choose_replica(self, part: Part) -> Replica | None:
+        """Selects an upstream that was not tried yet."""
+        return self._choose_replica_except(part, part.tried)
+
+    def _choose_replica_except(
+        self, part: Part, excluded: list[UpstreamId]
+    ) -> Replica | None:
         return self._core.choose_replica(
             part.shard,
             typical_ms=self._latency.get_quantile(MEDIAN_QUANTILE),
-            tried=part.tried,
+            tried=excluded,
         )
 
     def _call(self, part: Part) -> bool:
@@ -151,15 +157,18 @@
             )
         else:
             self._handle_failure(part, call.upstream, result)
-        if self._has_started:
-            self._advance()
+        if self._has_started and not self._advance() and result.end is CallEnd.SHED:
+            # A retry may be planned before the time of the timer.
+            self._schedule_timer(core.now)
 
     def _handle_failure(
         self, part: Part, upstream: UpstreamId, result: CallResult
     ) -> None:
         if result.end is CallEnd.MISDIRECTED:
             self._core.remove_upstream(upstream)
-        if result.verdict is RunVerdict.NOT_RUN:
+        if result.end is CallEnd.SHED:
+            part.end_refused(upstream)
+        elif result.verdict is RunVerdict.NOT_RUN:
             part.end_not_run(upstream)
         else:
             part.end_failed(upstream)
@@ -174,14 +183,32 @@
         )
         if part.is_answered or part.pending_calls:
             return
-        if self._execution.may_call(part) and (
-            not result.end.reached_upstream
-            or self._core.try_extra_call(part.shard, ExtraCallKind.RETRY)
+        if not self._execution.may_call(part):
+            self._execution.record_failure(part)
+        elif self._choose_replica(part) is None and part.refusing:
+            # An upstream that is full for a moment may take the request a little later.
+            self._execution.schedule_retry(part, self._core.now)
+        else:
+            self._retry(part, part.tried, costs_budget=result.end.reached_upstream)
+
+    def _retry(
+        self, part: Part, excluded: list[UpstreamId], *, costs_budget: bool
+    ) -> None:
+        """Calls another upstream for a part, which fails if that is impossible."""
+        replica = self._choose_replica_except(part, excluded)
+        if replica is None or (
+            costs_budget
+            and not self._core.try_extra_call(part.shard, ExtraCallKind.RETRY)
         ):
-            if self._call(part):
-                self._retries += 1
-                return
-        self._execution.record_failure(part)
+            part.retry_at = None
+            self._execution.record_failure(part)
+            return
+        self._send(part, replica)
+        self._retries += 1
+
+    def _send_due_retries(self, now: Millis) -> None:
+        for part in self._execution.list_due_retries(now):
+            self._retry(part, part.list_unrepeatable(), costs_budget=True)
 
     def _advance(self) -> bool:
         """Completes the request if it is decided; returns whether it is complete."""
@@ -199,6 +226,7 @@
 
     def _handle_timer(self) -> None:
         self._core.response_delays.add_timer_delay(self._core.now - self._timer_due_at)
+        self._send_due_retries(self._core.now)
         if not self._advance():
             now = self._core.now
             self._hedge(now)
@@ -248,6 +276,9 @@
         due_at = self._execution.hard_deadline
         if now < self._execution.soft_deadline:
             due_at = min(due_at, self._execution.soft_deadline)
+        retry_at = self._execution.get_next_retry_at()
+        if retry_at is not None:
+            due_at = min(due_at, max(retry_at, now))
         hedge_at = self._execution.get_next_hedge_at(
             delay_ms=self._get_hedge_delay_ms()
         )
--- a/src/skylarkcart/scatter/_execution.py
+++ b/src/skylarkcart/scatter/_execution.py
@@ -9,6 +9,9 @@
 from skylarkcart.scatter._part import Part
 from skylarkcart.types import ServiceId, UpstreamId
 
+# Delay before an upstream that refused a request is called again with it.
+REFUSED_RETRY_DELAY_MS = 10.0
+
 
 class GatherDecision(enum.Enum):
     """The next step of a scatter-gather request."""
@@ -78,6 +81,29 @@
         """Whether the part may be requested from another upstream."""
         return not part.is_settled and part.possible_runs < self._max_calls
 
+    def schedule_retry(self, part: Part, now: Millis) -> None:
+        """Plans another call to an upstream of the part that refused the request."""
+        part.retry_at = Millis(now + REFUSED_RETRY_DELAY_MS)
+
+    def list_due_retries(self, now: Millis) -> list[Part]:
+        """Returns the parts whose planned calls are due."""
+        return [
+            part
+            for part in self.parts.values()
+            if part.retry_at is not None
+            and part.retry_at <= now
+            and not part.is_settled
+        ]
+
+    def get_next_retry_at(self) -> Millis | None:
+        """Returns the time of the next planned call, or None."""
+        planned = [
+            part.retry_at
+            for part in self.parts.values()
+            if part.retry_at is not None and not part.is_settled
+        ]
+        return min(planned) if planned else None
+
     def reaches_min_coverage(self, parts: int) -> bool:
         """Whether this number of parts reaches the minimum coverage."""
         return parts > 0 and parts / len(self.parts) >= self._min_coverage
--- a/src/skylarkcart/scatter/_part.py
+++ b/src/skylarkcart/scatter/_part.py
@@ -10,7 +10,8 @@
     """The calls for one shard, and its answer if there is one.
 
     ``possible_runs`` counts the upstreams that may have run the request. An upstream
-    that refused the request without running it is not counted.
+    that refused the request without running it is not counted. ``refusing`` are those
+    that were full; if no other upstream is left, they are called again at ``retry_at``.
     """
 
     def __init__(self, *, shard: ServiceId) -> None:
@@ -18,6 +19,8 @@
         self.tried: list[UpstreamId] = []
         self.pending_calls: dict[UpstreamId, Millis] = {}
         self.possible_runs = 0
+        self.refusing: list[UpstreamId] = []
+        self.retry_at: Millis | None = None
         self.has_failed = False
         self.signature: bytes | None = None
         self.body = b""
@@ -35,11 +38,17 @@
         self.tried.append(upstream)
         self.pending_calls[upstream] = now
         self.possible_runs += 1
+        self.retry_at = None
 
     def end_not_run(self, upstream: UpstreamId) -> None:
         self.pending_calls.pop(upstream, None)
         self.possible_runs -= 1
 
+    def end_refused(self, upstream: UpstreamId) -> None:
+        """Records that an upstream that was full refused the call."""
+        self.end_not_run(upstream)
+        self.refusing.append(upstream)
+
     def end_failed(self, upstream: UpstreamId) -> None:
         self.pending_calls.pop(upstream, None)
 
@@ -50,6 +59,10 @@
         self.signature = signature
         self.body = body
 
+    def list_unrepeatable(self) -> list[UpstreamId]:
+        """Returns the upstreams that were called and may not be called again."""
+        return [upstream for upstream in self.tried if upstream not in self.refusing]
+
     def get_last_call_at(self) -> Millis:
         """Returns when the latest unanswered call was sent."""
         return max(self.pending_calls.values())
