--- a/src/skylarkcart/scatter/_part.py
+++ b/src/skylarkcart/scatter/_part.py
@@ -22,6 +22,7 @@
         self.refusing: list[UpstreamId] = []
         self.retry_at: Millis | None = None
         self.has_failed = False
+        self.is_left_out = False
         self.signature: bytes | None = None
         self.body = b""
 
@@ -31,7 +32,7 @@
 
     @property
     def is_settled(self) -> bool:
-        return self.is_answered or self.has_failed
+        return self.is_answered or self.has_failed or self.is_left_out
 
     def begin_call(self, upstream: UpstreamId, now: Millis) -> None:
         """Records a call that is sent to an upstream."""
