--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -133,6 +133,7 @@
         self.reaches_store = True
         self._used_services: frozenset[ServiceId] = frozenset()
         self._last_requests_at: dict[str, Millis] = {}
+        self._preconnected: set[ServiceId] = set()
         self._unreachable_zones: frozenset[ZoneId] = frozenset()
         self._last_degraded_at = Millis(float("-inf"))
         self._route_weights: dict[str, float] = {}
@@ -356,30 +357,43 @@
         self._unreachable_zones = zones
 
     def preconnect(self) -> None:
-        """Opens a connection to each service of the routes in use, a few per call.
+        """Opens a connection to each service that routes in use start to name.
 
         Otherwise, the first requests after a repartition would each open a connection
-        to every shard. A service of a route without recent requests here gets no
-        connection: the load balancer routes each caller to one instance, so that many
-        instances of a large fleet have no callers, and upstreams limit the connections
-        of the whole fleet.
+        to every shard. It is opened once: if requests are rarer than the idle timeout,
+        a connection that is opened again after each timeout is rarely used. A service
+        of a route without recent requests here gets none: the load balancer routes each
+        caller to one instance, so that many instances of a large fleet have no callers,
+        and upstreams limit the connections of the whole fleet.
         """
+        services = self._list_recently_used_services()
+        self._preconnected.intersection_update(services)
         opened = 0
-        for service in self._list_recently_used_services():
-            replicas = self.replicas.list_replicas(service)
-            if not replicas or any(map(self.pool.has_connection, replicas)):
+        for service in services:
+            if service in self._preconnected:
                 continue
-            chosen = self.replicas.select(service, now=self.now, typical_ms=1.0)
-            if (
-                chosen is not None
-                and not chosen.is_backed_off(self.now)
-                and not chosen.is_at_connection_limit(self.now)
-            ):
-                self.pool.preconnect(chosen)
+            replicas = self.replicas.list_replicas(service)
+            if any(map(self.pool.has_connection, replicas)):
+                self._preconnected.add(service)
+            elif replicas and self._preconnect_service(service):
+                self._preconnected.add(service)
                 opened += 1
             if opened == MAX_PRECONNECTS_PER_CHECK:
                 return
 
+    def _preconnect_service(self, service: ServiceId) -> bool:
+        """Opens a connection to an upstream of the service that accepts one."""
+        now = self.now
+        chosen = self.replicas.select(service, now=now, typical_ms=1.0)
+        if (
+            chosen is None
+            or chosen.is_backed_off(now)
+            or chosen.is_at_connection_limit(now)
+        ):
+            return False
+        self.pool.preconnect(chosen)
+        return True
+
     def record_request(self, route: Route, now: Millis) -> None:
         """Records that a request of a route is served here."""
         self._last_requests_at[route.name] = now
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -252,3 +252,22 @@
         status, headers, _ = await caller.read()
         assert (status, headers["request-id"]) == (200, "r1")
         assert await caller.reader.read() == b""
+
+
+async def test_search_waits_for_shards_that_are_full_for_a_moment(deployment) -> None:
+    """Both upstreams of a shard refuse at first, and the search is not given up."""
+    refusals = []
+
+    async def refuse_first(*_):
+        if len(refusals) < 3:
+            refusals.append(1)
+            return 503, {"Not-Executed": "1"}, b""
+        return None
+
+    for upstream in ("a1", "a2"):
+        deployment.upstreams[upstream].handler = refuse_first
+    async with deployment.open_caller() as caller:
+        status, headers, _ = await caller.send("/search/x", "r1")
+    assert (status, headers["missing-parts"]) == (200, "0")
+    assert len(refusals) == 3
+    assert len(deployment.list_runs("r1")) == 2
