--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from skylarkcart.budgets import ExtraCallKind
 from skylarkcart.clock import Millis
 from skylarkcart.gateway._completion import (
@@ -24,14 +22,7 @@
 )
 from skylarkcart.published import Route
 from skylarkcart.replicas import CallEnd, Replica
-from skylarkcart.scatter import (
-    GatherDecision,
-    GatherExecution,
-    Part,
-    choose_left_out_shards,
-    count_dispensable,
-    merge_records,
-)
+from skylarkcart.scatter import GatherDecision, GatherExecution, Part, merge_records
 from skylarkcart.types import AccountId, ServiceId, UpstreamId
 from skylarkcart.verdict import RunVerdict
 
@@ -42,10 +33,6 @@
 
 MIN_HEDGE_DELAY_MS = 3.0
 
-# No shard is left out with less time left, in typical latencies of a call: even healthy
-# shards are then likely to be late, and a late answer had better be complete.
-MIN_LATENCIES_LEFT_TO_OMIT = 2.0
-
 # Minimum time between hedging attempts, as budget or replicas may be unavailable.
 HEDGE_RETRY_INTERVAL_MS = 8.0
 
@@ -79,7 +66,6 @@
         self._calls: dict[Call, Part] = {}
         self._hedges = 0
         self._retries = 0
-        self._left_out = 0
         self._shards_without_budget: set[ServiceId] = set()
         self._has_started = False
 
@@ -94,49 +80,13 @@
             )
             return
         now = self._core.now
-        self._call_shards(now)
-        self._has_started = True
-        if not self._advance():
-            self._schedule_timer(now)
-
-    def _call_shards(self, now: Millis) -> None:
-        """Calls the shards, but for those that would answer too late."""
-        replicas: dict[Part, Replica] = {}
         for part in self._execution.parts.values():
             self._core.get_extra_calls(part.shard).record_request(now)
-            replica = self._choose_replica(part)
-            if replica is None:
+            if not self._call(part):
                 self._execution.record_failure(part)
-            else:
-                replicas[part] = replica
-        left_out = self._choose_left_out_shards(replicas, now)
-        for part, replica in replicas.items():
-            if part.shard in left_out:
-                self._execution.leave_out(part)
-                self._left_out += 1
-            else:
-                self._send(part, replica)
-
-    def _choose_left_out_shards(
-        self, replicas: Mapping[Part, Replica], now: Millis
-    ) -> list[ServiceId]:
-        typical_ms = self._latency.get_quantile(MEDIAN_QUANTILE)
-        time_left_ms = self._execution.soft_deadline - now
-        if time_left_ms < MIN_LATENCIES_LEFT_TO_OMIT * typical_ms:
-            return []
-        shards = len(self._execution.parts)
-        dispensable = count_dispensable(
-            shards, min_coverage=self._route.gathering.min_coverage
-        )
-        return choose_left_out_shards(
-            {
-                part.shard: replica.get_expected_latency_ms(now, typical_ms=typical_ms)
-                for part, replica in replicas.items()
-            },
-            time_left_ms=time_left_ms,
-            max_left_out=max(0, dispensable - (shards - len(replicas))),
-            random=self._core.random,
-        )
+        self._has_started = True
+        if not self._advance():
+            self._schedule_timer(now)
 
     def abandon(self) -> None:
         """Ends all calls after the caller has disconnected."""
@@ -265,9 +215,6 @@
         if self._completion.is_done:
             return True
         now = self._core.now
-        for part in self._execution.recall_left_out_parts(now):
-            if not self._call(part):
-                self._execution.record_failure(part)
         match self._execution.decide(now):
             case GatherDecision.ANSWER:
                 self._respond()
@@ -329,9 +276,6 @@
         due_at = self._execution.hard_deadline
         if now < self._execution.soft_deadline:
             due_at = min(due_at, self._execution.soft_deadline)
-        recall_at = self._execution.get_recall_at()
-        if recall_at is not None and now < recall_at:
-            due_at = min(due_at, recall_at)
         retry_at = self._execution.get_next_retry_at()
         if retry_at is not None:
             due_at = min(due_at, max(retry_at, now))
@@ -391,13 +335,13 @@
             ),
             "hedges": self._hedges,
             "retries": self._retries,
-            "left_out": self._left_out,
             "shards_without_budget": len(self._shards_without_budget),
         }
 
     def _list_missing_shards(self) -> list[str]:
         return [
-            f"{part.shard}: {_describe_missing(part)}"
+            f"{part.shard}: {'lost' if part.has_failed else 'late'} at "
+            + ", ".join(part.tried)
             for part in self._execution.parts.values()
             if not part.is_answered
         ]
@@ -405,9 +349,3 @@
     def _stop(self) -> None:
         self._end_calls(self._calls)
         self._calls.clear()
-
-
-def _describe_missing(part: Part) -> str:
-    if part.is_left_out:
-        return "left out"
-    return f"{'lost' if part.has_failed else 'late'} at {', '.join(part.tried)}"
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -224,18 +224,6 @@
         decay = 0.5 ** ((now - self._latency_ratio_at) / LATENCY_RATIO_HALF_LIFE_MS)
         return 1.0 + (self._latency_ratio - 1.0) * decay
 
-    def get_expected_latency_ms(self, now: Millis, *, typical_ms: float) -> float:
-        """Returns the expected latency of a further call, infinite if unreachable.
-
-        It is the longest of what its latest calls took, what its queue takes and what
-        a call without a response has waited already.
-        """
-        if self.is_unreachable(now):
-            return float("inf")
-        queue = self.get_utilization(now) + 1.0 / self.entry.slots
-        expected_ms = typical_ms * max(self.get_latency_ratio(now), queue)
-        return max(expected_ms, self._get_longest_wait_ms(now))
-
     def get_failure_ratio(self, now: Millis) -> float:
         """Returns the decayed ratio of its calls that failed."""
         if self._failure_ratio < NEGLIGIBLE_FAILURE_RATIO:
@@ -256,16 +244,6 @@
             slots = self._load_report.slots
         return calls / slots
 
-    def _get_longest_wait_ms(self, now: Millis) -> float:
-        """Returns how long a call has waited since its start or the last response."""
-        return max(
-            (
-                now - max(started_at, self.last_response_at)
-                for started_at, _ in self.in_flight.values()
-            ),
-            default=0.0,
-        )
-
     def record_reported_slow_call(self, sample: SlowSample) -> None:
         """Records a slow call that another instance reported."""
         self._record_latency_ratio(sample.started_at, sample.ended_at, sample.ratio)
--- a/src/skylarkcart/scatter/_execution.py
+++ b/src/skylarkcart/scatter/_execution.py
@@ -12,10 +12,6 @@
 # Delay before an upstream that refused a request is called again with it.
 REFUSED_RETRY_DELAY_MS = 10.0
 
-# Shards that were left out are called after this fraction of the time between the two
-# deadlines, if the others have not answered by then.
-RECALL_FRACTION = 0.5
-
 
 class GatherDecision(enum.Enum):
     """The next step of a scatter-gather request."""
@@ -54,7 +50,6 @@
         self.hard_deadline = hard_deadline
         self.answered_count = 0
         self._failed_count = 0
-        self._left_out_count = 0
         self._min_coverage = min_coverage
         self._max_calls = max_calls
 
@@ -82,29 +77,6 @@
             part.has_failed = True
             self._failed_count += 1
 
-    def leave_out(self, part: Part) -> None:
-        """Records that a part is not called unless the answer needs it."""
-        part.is_left_out = True
-        self._left_out_count += 1
-
-    def recall_left_out_parts(self, now: Millis) -> list[Part]:
-        """Returns the parts that were left out and now have to be called, if any.
-
-        They are needed if too few of the other parts can still be answered, or have
-        been answered for long after the time of an answer in time.
-        """
-        if not self._left_out_count or not self._needs_left_out_parts(now):
-            return []
-        recalled = [part for part in self.parts.values() if part.is_left_out]
-        for part in recalled:
-            part.is_left_out = False
-        self._left_out_count = 0
-        return recalled
-
-    def get_recall_at(self) -> Millis | None:
-        """Returns when the parts that were left out are called, or None."""
-        return self._recall_at if self._left_out_count else None
-
     def may_call(self, part: Part) -> bool:
         """Whether the part may be requested from another upstream."""
         return not part.is_settled and part.possible_runs < self._max_calls
@@ -161,7 +133,7 @@
 
     def decide(self, now: Millis) -> GatherDecision:
         answered = self.answered_count
-        pending = self._count_pending()
+        pending = len(self.parts) - answered - self._failed_count
         if pending == 0 or not self.reaches_min_coverage(answered + pending):
             return self._decide_without_waiting(answered)
         if now >= self.hard_deadline:
@@ -170,23 +142,6 @@
             return GatherDecision.ANSWER
         return GatherDecision.WAIT
 
-    def _count_pending(self) -> int:
-        settled = self.answered_count + self._failed_count + self._left_out_count
-        return len(self.parts) - settled
-
-    @property
-    def _recall_at(self) -> Millis:
-        late_ms = max(0.0, self.hard_deadline - self.soft_deadline)
-        return Millis(self.soft_deadline + RECALL_FRACTION * late_ms)
-
-    def _needs_left_out_parts(self, now: Millis) -> bool:
-        answered = self.answered_count
-        if now >= self.hard_deadline:
-            return False
-        if not self.reaches_min_coverage(answered + self._count_pending()):
-            return True
-        return now >= self._recall_at and not self.reaches_min_coverage(answered)
-
     def _decide_without_waiting(self, answered: int) -> GatherDecision:
         return (
             GatherDecision.ANSWER
--- a/src/skylarkcart/scatter/_part.py
+++ b/src/skylarkcart/scatter/_part.py
@@ -22,7 +22,6 @@
         self.refusing: list[UpstreamId] = []
         self.retry_at: Millis | None = None
         self.has_failed = False
-        self.is_left_out = False
         self.signature: bytes | None = None
         self.body = b""
 
@@ -32,7 +31,7 @@
 
     @property
     def is_settled(self) -> bool:
-        return self.is_answered or self.has_failed or self.is_left_out
+        return self.is_answered or self.has_failed
 
     def begin_call(self, upstream: UpstreamId, now: Millis) -> None:
         """Records a call that is sent to an upstream."""
