--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -190,6 +190,7 @@
     async def _fetch(self) -> None:
         core = self._core
         for peer in core.fleet.list_peers_ahead(core.registry.revision, core.now)[:2]:
+            requested_at = core.now
             try:
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                     published = await self._request_state(peer.host)
@@ -204,6 +205,7 @@
                 )
                 continue
             if published is not None and core.registry.adopt(published, core.now):
+                core.registry.confirm_adopted(published, requested_at=requested_at)
                 core.log.write(
                     "state_fetched", peer=peer.instance, revision=published.revision
                 )
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -66,6 +66,8 @@
 
     If ``since`` is 0, it holds the whole state at ``revision``. Otherwise it holds the
     changes after the revision ``since``, and ``configuration`` is None if unchanged.
+    ``confirmed_age_ms`` is the time since the sender last knew it to be current,
+    negative if it never did.
     """
 
     since: int
@@ -76,6 +78,7 @@
     upstreams: tuple[PublishedEntry, ...]
     removals: tuple[Removal, ...]
     lapsed: tuple[LapsedEntry, ...]
+    confirmed_age_ms: float = -1.0
 
 
 class RegistryEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -194,6 +197,17 @@
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
 
+    def confirm_adopted(self, published: Published, *, requested_at: Millis) -> None:
+        """Records that the adopted state was current when its sender confirmed it.
+
+        The sender described the state after the request for it. The state was therefore
+        current at the time of the request less the age that the sender states.
+        """
+        age_ms = published.confirmed_age_ms
+        # Also False for NaN and infinity.
+        if published.revision == self.revision and 0 <= age_ms < float("inf"):
+            self.confirm(Millis(requested_at - age_ms))
+
     def record_store_outage(self) -> None:
         """Records an outage of the store, during which entries may lapse."""
         self._store_was_unreachable = True
@@ -250,6 +264,9 @@
                 LapsedEntry(entry=known.entry, left_ms=expires_at - now)
                 for known, expires_at in self._lapsed.values()
             ),
+            confirmed_age_ms=(
+                -1.0 if self.confirmed_at is None else self.get_age_ms(now)
+            ),
         )
 
     def _apply_change(self, change: Change, now: Millis) -> None:
--- a/tests/gateway/test_hostile_messages.py
+++ b/tests/gateway/test_hostile_messages.py
@@ -312,6 +312,8 @@
         except (msgspec.DecodeError, OverflowError, UnicodeEncodeError):
             continue
         core.registry.adopt(published, core.now)
+        core.registry.confirm_adopted(published, requested_at=core.now)
+        assert 0 <= core.registry.get_age_ms(core.now)
         core.apply_published_state()
         exercise(core)
 
