--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -16,6 +16,7 @@
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
+from skylarkcart.gateway._preconnect import Preconnector
 from skylarkcart.gateway._receive_limits import ReceiveMemory
 from skylarkcart.gateway._supervision import RestartPolicy
 from skylarkcart.gateway._timing import ElapsedTimeEstimator, ResponseDelayEstimator
@@ -61,10 +62,6 @@
 MIN_RETRY_AFTER_MS = 20.0
 UNAVAILABLE_RETRY_AFTER_MS = 200.0
 
-# Bounds the connections opened by one maintenance pass, so that it does not delay
-# requests.
-MAX_PRECONNECTS_PER_CHECK = 16
-
 # A route is in use for this time after a request. Upstreams close connections that are
 # idle for about as long.
 RECENT_REQUEST_MS = 10_000.0
@@ -133,7 +130,7 @@
         self.reaches_store = True
         self._used_services: frozenset[ServiceId] = frozenset()
         self._last_requests_at: dict[str, Millis] = {}
-        self._preconnected: set[ServiceId] = set()
+        self._preconnector = Preconnector(replicas=self.replicas, pool=self.pool)
         self._unreachable_zones: frozenset[ZoneId] = frozenset()
         self._last_degraded_at = Millis(float("-inf"))
         self._route_weights: dict[str, float] = {}
@@ -357,42 +354,8 @@
         self._unreachable_zones = zones
 
     def preconnect(self) -> None:
-        """Opens a connection to each service that routes in use start to name.
-
-        Otherwise, the first requests after a repartition would each open a connection
-        to every shard. It is opened once: if requests are rarer than the idle timeout,
-        a connection that is opened again after each timeout is rarely used. A service
-        of a route without recent requests here gets none: the load balancer routes each
-        caller to one instance, so that many instances of a large fleet have no callers,
-        and upstreams limit the connections of the whole fleet.
-        """
-        services = self._list_recently_used_services()
-        self._preconnected.intersection_update(services)
-        opened = 0
-        for service in services:
-            if service in self._preconnected:
-                continue
-            replicas = self.replicas.list_replicas(service)
-            if any(map(self.pool.has_connection, replicas)):
-                self._preconnected.add(service)
-            elif replicas and self._preconnect_service(service):
-                self._preconnected.add(service)
-                opened += 1
-            if opened == MAX_PRECONNECTS_PER_CHECK:
-                return
-
-    def _preconnect_service(self, service: ServiceId) -> bool:
-        """Opens a connection to an upstream of the service that accepts one."""
-        now = self.now
-        chosen = self.replicas.select(service, now=now, typical_ms=1.0)
-        if (
-            chosen is None
-            or chosen.is_backed_off(now)
-            or chosen.is_at_connection_limit(now)
-        ):
-            return False
-        self.pool.preconnect(chosen)
-        return True
+        """Opens connections to services that routes in use start to name."""
+        self._preconnector.connect(self._list_recently_used_services(), self.now)
 
     def record_request(self, route: Route, now: Millis) -> None:
         """Records that a request of a route is served here."""
