Share one budget of extra calls in a large fleet

Cause: in the seconds in which most upstreams of all shards refuse most calls (0.8 of them, 0.6 of the calls, 9 s), searches of a large fleet fail although the fleet's limit of extra calls is half used: each instance has a share by its size and traffic, the load balancer brings a search that comes back to an instance without traffic, and a search lacks an extra call for one shard or another and fails as a whole.

Change: two collectors a zone, chosen by a hash, add up windows of usage and tell their zone the sums of the fleet; only fleets with gossip use them. Without fresh sums, or in the first window after its start, an instance uses its own share as before.

--- a/src/skylarkcart/budgets/__init__.py
+++ b/src/skylarkcart/budgets/__init__.py
@@ -8,5 +8,40 @@
     FleetShare,
 )
 from skylarkcart.budgets._request_rate import RequestRate
+from skylarkcart.budgets._usage import (
+    COLLECTOR_ROUNDS,
+    SharedUsage,
+    UsageCollector,
+    UsageView,
+)
+from skylarkcart.budgets._usage_messages import (
+    USAGE_PREFIX,
+    FleetUsage,
+    InstanceUsage,
+    ServiceUsage,
+    UsageMessage,
+    ZoneUsage,
+    decode_usage,
+    encode_usage,
+    hash_service,
+)
 
-__all__ = ["ExtraCallBudget", "ExtraCallKind", "FleetShare", "RequestRate"]
+__all__ = [
+    "COLLECTOR_ROUNDS",
+    "ExtraCallBudget",
+    "ExtraCallKind",
+    "FleetShare",
+    "FleetUsage",
+    "InstanceUsage",
+    "RequestRate",
+    "ServiceUsage",
+    "SharedUsage",
+    "USAGE_PREFIX",
+    "UsageCollector",
+    "UsageMessage",
+    "UsageView",
+    "ZoneUsage",
+    "decode_usage",
+    "encode_usage",
+    "hash_service",
+]
--- a/src/skylarkcart/budgets/_extra_calls.py
+++ b/src/skylarkcart/budgets/_extra_calls.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from skylarkcart.budgets._usage import SharedUsage
 from skylarkcart.clock import Millis
 
 WINDOW_BUCKETS = 20
@@ -24,6 +25,14 @@
 # which a request with a failed call gets no answer at all.
 HEDGE_BUDGET_RATIO = 0.9
 
+# Fraction of the fleet's limit that is used when its usage is known. The rest covers
+# calls that are made before the others know of them.
+SHARED_USABLE_RATIO = 0.9
+
+# When less than 1/3 of a shared budget is left, only the requests with the lowest ranks
+# may use it, in proportion to what is left.
+SHARED_RANK_FACTOR = 3.0
+
 
 class ExtraCallKind(enum.Enum):
     """Why a request is sent to another upstream of the same service."""
@@ -61,6 +70,12 @@
     most 1, is the lowest fraction that allows another call. If each instance draws it
     at random, the fleet uses the sum of all fractions.
 
+    If the usage of the whole fleet is known (`SharedUsage`), the instances share one
+    budget instead, whichever of them gets the requests. When it runs short, it goes to
+    some requests for all their calls, by ``rank``, a random number from 0 to 1 that is
+    drawn once for each request: a search that may repeat only some of its calls fails
+    as a whole.
+
     >>> budget = ExtraCallBudget(
     ...     ratio=0.2, slack=56, window_ms=10_000, min_fraction=1.0, now=Millis(0)
     ... )
@@ -91,6 +106,8 @@
         self._buckets: collections.deque[list[float]] = collections.deque()
         self._requests = 0
         self._extra_calls = 0
+        # Extra calls since the start.
+        self.total_extra_calls = 0
 
     def record_request(self, now: Millis) -> None:
         """Counts the first call of a request."""
@@ -99,6 +116,7 @@
 
     def record_extra_call(self, now: Millis) -> None:
         self._extra_calls += 1
+        self.total_extra_calls += 1
         self._advance_window(now)[2] += 1
 
     def count_requests(self, now: Millis) -> int:
@@ -106,6 +124,11 @@
         self._advance_window(now)
         return self._requests
 
+    def count_extra_calls(self, now: Millis) -> int:
+        """Returns the number of extra calls in the current window."""
+        self._advance_window(now)
+        return self._extra_calls
+
     def get_remaining_calls(self, *, now: Millis, share: FleetShare) -> float:
         """Returns how many extra calls this instance may still make in this window."""
         self._advance_window(now)
@@ -114,20 +137,56 @@
         slack = self._slack * share.fraction * (0.5 + 0.5 * elapsed_ratio)
         return USABLE_RATIO * (self._ratio * self._requests + slack) - self._extra_calls
 
-    def get_unused_fraction(self, *, now: Millis, share: FleetShare) -> float:
+    def get_unused_fraction(
+        self, *, now: Millis, share: FleetShare, shared: SharedUsage | None = None
+    ) -> float:
         """Returns the unused fraction of the budget, from 0 to 1."""
+        if shared is not None:
+            limit = self._get_shared_limit(share, shared)
+            return max(0.0, 1.0 - shared.extra_calls / max(1.0, limit))
         remaining = self.get_remaining_calls(now=now, share=share)
         return max(0.0, remaining / max(1.0, remaining + self._extra_calls))
 
-    def try_spend(self, kind: ExtraCallKind, *, now: Millis, share: FleetShare) -> bool:
+    def try_spend(
+        self,
+        kind: ExtraCallKind,
+        *,
+        now: Millis,
+        share: FleetShare,
+        shared: SharedUsage | None = None,
+        rank: float = 0.0,
+    ) -> bool:
         """Records an extra call and returns True if the budget allows it."""
+        may_call = (
+            self._may_use_own_share(kind, now, share)
+            if shared is None
+            else self._may_use_shared(kind, share, shared, rank)
+        )
+        if may_call:
+            self.record_extra_call(now)
+        return may_call
+
+    def _may_use_own_share(
+        self, kind: ExtraCallKind, now: Millis, share: FleetShare
+    ) -> bool:
         remaining = self.get_remaining_calls(now=now, share=share)
         if kind is ExtraCallKind.HEDGE:
             remaining -= (1 - HEDGE_BUDGET_RATIO) * (remaining + self._extra_calls)
-        if remaining < self._min_fraction:
-            return False
-        self.record_extra_call(now)
-        return True
+        return remaining >= self._min_fraction
+
+    def _may_use_shared(
+        self, kind: ExtraCallKind, share: FleetShare, shared: SharedUsage, rank: float
+    ) -> bool:
+        limit = self._get_shared_limit(share, shared)
+        remaining = limit - shared.extra_calls
+        if kind is ExtraCallKind.HEDGE:
+            remaining -= (1 - HEDGE_BUDGET_RATIO) * limit
+        return remaining >= 1 and rank < SHARED_RANK_FACTOR * remaining / limit
+
+    def _get_shared_limit(self, share: FleetShare, shared: SharedUsage) -> float:
+        settled_fraction = min(1.0, shared.settled_instances / max(1, share.size))
+        slack = self._slack * settled_fraction
+        return SHARED_USABLE_RATIO * (self._ratio * shared.requests + slack)
 
     def _advance_window(self, now: Millis) -> list[float]:
         bucket_start = now - now % self._bucket_ms
--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -53,6 +53,10 @@
 # zone if possible, covers the time until a failure of the first is detected.
 READER_COUNT = 2
 
+# Number of instances of a zone that add up usage for the others. The second one covers
+# the time until a failure of the first is detected.
+COLLECTOR_COUNT = 2
+
 # With an older published state, every instance reads the store itself.
 MAX_STATE_AGE_MS = 2_200.0
 
@@ -63,6 +67,7 @@
     member: Member
     reported_at: Millis
     last_contact_at: Millis
+    known_since: Millis
     last_sent_at_ms: float = -1.0
     lacks_stated_state_until: Millis = Millis(float("-inf"))
 
@@ -240,6 +245,43 @@
             return True
         return self._instance in _select_readers(candidates)
 
+    def uses_gossip(self) -> bool:
+        """Whether the fleet is too large for reports to every other instance."""
+        return not self._is_full_mesh()
+
+    def list_collectors(self, now: Millis) -> dict[ZoneId, tuple[str, ...]]:
+        """Returns the hosts of the collectors of each zone with known instances.
+
+        They are the first, in the order of a hash, of a zone's responsive instances.
+        """
+        by_zone: dict[ZoneId, list[tuple[int, str]]] = {
+            self._zone: [(_hash_instance(self._instance), self._host)]
+        }
+        for peer in self._list_responsive_peers(now):
+            if not peer.member.is_leaving:
+                by_zone.setdefault(peer.member.zone, []).append(
+                    (_hash_instance(peer.member.instance), peer.member.host)
+                )
+        return {
+            zone: tuple(host for _, host in sorted(ranked)[:COLLECTOR_COUNT])
+            for zone, ranked in by_zone.items()
+        }
+
+    def list_own_zone(self, now: Millis) -> tuple[Member, ...]:
+        """Returns the responsive peers of this zone."""
+        return tuple(
+            peer.member
+            for peer in self._list_responsive_peers(now)
+            if peer.member.zone == self._zone
+        )
+
+    def count_settled(self, now: Millis, *, min_age_ms: float) -> int:
+        """Returns how many responsive peers of this zone are known for long enough."""
+        return sum(
+            peer.member.zone == self._zone and now - peer.known_since >= min_age_ms
+            for peer in self._list_responsive_peers(now)
+        )
+
     def list_peers_ahead(self, revision: int, now: Millis) -> tuple[Member, ...]:
         """Returns the peers with newer published state, those of this zone first."""
         ahead = [
@@ -271,9 +313,11 @@
             member=member,
             reported_at=Millis(now - member.age_ms),
             last_contact_at=last_contact_at,
+            known_since=now,
         )
         if known is not None and known.member.incarnation == member.incarnation:
             peer.last_contact_at = max(last_contact_at, known.last_contact_at)
+            peer.known_since = known.known_since
             peer.last_sent_at_ms = known.last_sent_at_ms
             peer.lacks_stated_state_until = known.lacks_stated_state_until
         self.peers[member.instance] = peer
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -9,7 +9,10 @@
     ExtraCallBudget,
     ExtraCallKind,
     FleetShare,
+    InstanceUsage,
     RequestRate,
+    SharedUsage,
+    UsageView,
 )
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.fleet import UNKNOWN_RATE, Fleet
@@ -138,6 +141,8 @@
         self.unready_since: Millis | None = None
         self._background_tasks: dict[str, RestartPolicy] = {}
         self._extra_calls: dict[ServiceId, ExtraCallBudget] = {}
+        self.usage_view = UsageView(instance=settings.instance, incarnation=incarnation)
+        self._started_at = clock.now()
         self._request_rate = RequestRate(
             window_ms=settings.bounds.extra_calls_window_ms, now=clock.now()
         )
@@ -232,15 +237,24 @@
                 slack=bounds.extra_calls_slack,
                 window_ms=bounds.extra_calls_window_ms,
                 min_fraction=1.0 - self.random.random(),
-                now=self.now,
+                now=self._started_at,
             )
             self._extra_calls[service] = budget
         return budget
 
-    def try_extra_call(self, service: ServiceId, kind: ExtraCallKind) -> bool:
-        """Takes one call from a service's extra-call budget if any is left."""
+    def try_extra_call(
+        self, service: ServiceId, kind: ExtraCallKind, *, rank: float = 0.0
+    ) -> bool:
+        """Takes one call from a service's extra-call budget if any is left.
+
+        ``rank`` orders the requests when the budget runs short, from 0 to 1.
+        """
         granted = self.get_extra_calls(service).try_spend(
-            kind, now=self.now, share=self.fleet_share
+            kind,
+            now=self.now,
+            share=self.fleet_share,
+            shared=self._get_shared_usage(service),
+            rank=rank,
         )
         self.metrics.count_extra_call(kind, granted=granted)
         return granted
@@ -248,7 +262,41 @@
     def get_unused_extra_call_fraction(self, service: ServiceId) -> float:
         """Returns the unused fraction of a service's extra-call budget."""
         return self.get_extra_calls(service).get_unused_fraction(
-            now=self.now, share=self.fleet_share
+            now=self.now,
+            share=self.fleet_share,
+            shared=self._get_shared_usage(service),
+        )
+
+    def build_usage(self, now: Millis) -> InstanceUsage | None:
+        """Returns the extra calls of this instance, to tell the collectors."""
+        return self.usage_view.build_instance(
+            {
+                service: (budget.count_requests(now), budget.count_extra_calls(now))
+                for service, budget in self._extra_calls.items()
+            },
+            {
+                service: budget.total_extra_calls
+                for service, budget in self._extra_calls.items()
+            },
+        )
+
+    def has_run_for(self, duration_ms: float) -> bool:
+        """Whether this process started at least so long ago."""
+        return self.now - self._started_at >= duration_ms
+
+    def _get_shared_usage(self, service: ServiceId) -> SharedUsage | None:
+        """Returns the fleet's usage of a service if this instance may share a budget.
+
+        A process that has just started does not know what the previous one has used.
+        """
+        if not self.has_run_for(self.settings.bounds.extra_calls_window_ms):
+            return None
+        budget = self.get_extra_calls(service)
+        return self.usage_view.get_usage(
+            service,
+            in_window=budget.count_extra_calls(self.now),
+            total=budget.total_extra_calls,
+            now=self.now,
         )
 
     def choose_replica(
@@ -419,7 +467,7 @@
         for service in set(self._extra_calls) - self._used_services:
             # Extra calls count against the budget until their window ends, even if no
             # route refers to the service any more.
-            if self.get_unused_extra_call_fraction(service) == 1.0:
+            if not self._extra_calls[service].count_extra_calls(self.now):
                 del self._extra_calls[service]
 
     def _record_event(self, event: RegistryEvent) -> None:
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -68,6 +68,9 @@
         self._retries = 0
         self._shards_without_budget: set[ServiceId] = set()
         self._has_started = False
+        # With the same rank for all its parts, a search gets all extra calls or none
+        # when the budgets run short.
+        self._rank = core.random.random()
 
     def start(self) -> None:
         if not self._core.can_serve(self._route, self._core.now):
@@ -198,7 +201,9 @@
         replica = self._choose_replica_except(part, excluded)
         if replica is None or (
             costs_budget
-            and not self._core.try_extra_call(part.shard, ExtraCallKind.RETRY)
+            and not self._core.try_extra_call(
+                part.shard, ExtraCallKind.RETRY, rank=self._rank
+            )
         ):
             part.retry_at = None
             self._execution.record_failure(part)
@@ -249,7 +254,9 @@
                 continue
             if part in unsent_calls:
                 self._reassign(part, unsent_calls[part], replica)
-            elif self._core.try_extra_call(part.shard, ExtraCallKind.HEDGE):
+            elif self._core.try_extra_call(
+                part.shard, ExtraCallKind.HEDGE, rank=self._rank
+            ):
                 self._send(part, replica)
                 self._hedges += 1
             else:
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from skylarkcart.budgets import USAGE_PREFIX
 from skylarkcart.clock import Millis
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.fleet import (
@@ -16,6 +17,7 @@
     encode_report,
 )
 from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._usage_exchange import UsageExchange
 from skylarkcart.registry import Published
 from skylarkcart.types import InstanceId
 
@@ -35,11 +37,11 @@
 
 
 class PeerLink(asyncio.DatagramProtocol):
-    """Exchanges reports with other instances over UDP."""
+    """Exchanges reports and usage messages with other instances over UDP."""
 
     def __init__(self, *, core: Core, incarnation: int) -> None:
         self._core = core
-        self._incarnation = incarnation
+        self._usage = UsageExchange(core=core, send=self._send_datagram)
         self._transport: asyncio.DatagramTransport | None = None
         self._known_peers: set[InstanceId] = set()
         self.peer_is_ahead = asyncio.Event()
@@ -49,15 +51,15 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         try:
-            report = decode_report(data)
+            if data.startswith(USAGE_PREFIX):
+                self._usage.handle_datagram(data)
+            else:
+                self._handle_report(decode_report(data))
         except InvalidValueError as error:
             self._core.log_warning("report_unreadable", detail=str(error))
-            return
-        try:
-            self._handle_report(report)
         except Exception as error:
             # An error that leaves this method would close the socket.
-            self._core.record_error("report", error, peer=report.sender.instance)
+            self._core.record_error("report", error, peer=address[0])
 
     def error_received(self, error: OSError) -> None:
         self._core.log.write("report_undelivered", detail=repr(error), limit=5)
@@ -71,6 +73,7 @@
         while True:
             self.send_reports()
             self._update_peers()
+            self._usage.run_round()
             await asyncio.sleep(REPORT_INTERVAL_MS / 1000.0)
 
     def send_reports(self) -> None:
@@ -87,6 +90,9 @@
             own_state, to_host=host, now=now, wants_reply=wants_reply
         )
         data = encode_report(report, compresses=self._core.fleet.is_in_other_zone(host))
+        self._send_datagram(data, host)
+
+    def _send_datagram(self, data: bytes, host: str) -> None:
         self._transport.sendto(data, (host, self._core.settings.peer_port))
 
     def _build_own_state(self, now: Millis) -> OwnState:
