Describe instances of other zones in reports of a large fleet

Cause: with gossip, a report relays the newest descriptions that its sender knows. In a zone these are mostly of the same zone, whose instances hear each other directly anyway, and between zones they are of any zone. News of an instance took 2.6 s on average in a fleet of 195 in 6 zones, and 24% of the instances counted as silent (4 s), so that accounts' tokens were refilled at 76% of their rates, spending was known late and readers were chosen in vain. Each report also sorted all members, counted all zones anew and checked each number in Python: 1.5 to 1.7% of a core at 195.

Change: in a zone, reports describe the newest members of the other zones; between zones, those of the sender's. The newest are taken from the order of arrival, the size is estimated when members change, and msgspec checks numbers while it decodes.

Ruled out: two targets a round instead of three (0.8% of a core, but news takes 1.5 s).

--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import random
 import zlib
 from collections.abc import Mapping, Sequence
@@ -118,6 +120,10 @@
         self._round_offset = random.randrange(GOSSIP_OTHER_ZONES_ROUNDS)
         self._peers_by_host: dict[str, Peer] = {}
         self.peers: dict[InstanceId, Peer] = {}
+        # The instances of this zone and of the others, in the order in which news of
+        # them arrived.
+        self._arrivals_here: dict[InstanceId, None] = {}
+        self._arrivals_elsewhere: dict[InstanceId, None] = {}
         # Estimated number of instances, including this one. Budgets are divided by it.
         self.estimated_size = self._estimate_size()
 
@@ -133,8 +139,6 @@
         for member in report.others:
             if self._update_peer(member, now, last_contact_at=Millis(float("-inf"))):
                 updated.append(member)
-        if updated:
-            self.estimated_size = self._estimate_size()
         return updated
 
     def remove_lost_peers(self, now: Millis) -> tuple[Member, ...]:
@@ -147,6 +151,8 @@
         )
         for member in lost:
             del self.peers[member.instance]
+            self._arrivals_here.pop(member.instance, None)
+            self._arrivals_elsewhere.pop(member.instance, None)
             self._peers_by_host.pop(member.host, None)
         if lost:
             self.estimated_size = self._estimate_size()
@@ -322,28 +328,56 @@
             peer.lacks_stated_state_until = known.lacks_stated_state_until
         self.peers[member.instance] = peer
         self._peers_by_host[member.host] = peer
+        arrivals = (
+            self._arrivals_here
+            if member.zone == self._zone
+            else self._arrivals_elsewhere
+        )
+        arrivals.pop(member.instance, None)
+        arrivals[member.instance] = None
+        if known is None or known.member.zone != member.zone:
+            self.estimated_size = self._estimate_size()
         return True
 
     def _select_relayed_members(self, to_host: str, now: Millis) -> tuple[Member, ...]:
         if self._is_full_mesh() and self._round % FULL_MESH_RELAY_ROUNDS != 1:
             return ()
-        peers = sorted(
-            (peer for peer in self.peers.values() if peer.member.host != to_host),
-            key=lambda peer: peer.reported_at,
-            reverse=True,
-        )
-        limit = MAX_RELAYED_MEMBERS
         receiver = self._peers_by_host.get(to_host)
         if receiver is not None and receiver.member.zone != self._zone:
-            limit = MAX_RELAYED_MEMBERS_BETWEEN_ZONES
-        newest, remaining = peers[: limit // 2], peers[limit // 2 :]
+            limit, arrivals = MAX_RELAYED_MEMBERS_BETWEEN_ZONES, self._arrivals_here
+        else:
+            # The instances of a zone hear each other directly.
+            limit, arrivals = MAX_RELAYED_MEMBERS, self._arrivals_elsewhere
+        relayed = {
+            peer.member.instance: peer
+            for peer in self._list_newest_peers(arrivals, limit * 2 // 3)
+            if peer.member.host != to_host
+        }
         # The most recent descriptions alone would omit members that few instances know.
-        sampled = self._random.sample(
-            remaining, min(limit - len(newest), len(remaining))
-        )
+        for peer in self._random.sample(
+            list(self.peers.values()), min(2 * limit, len(self.peers))
+        ):
+            if len(relayed) >= limit:
+                break
+            if peer.member.host != to_host:
+                relayed[peer.member.instance] = peer
         return tuple(
             msgspec.structs.replace(peer.member, age_ms=now - peer.reported_at)
-            for peer in (*newest, *sampled)
+            for peer in relayed.values()
+        )
+
+    def _list_newest_peers(
+        self, arrivals: Mapping[InstanceId, None], count: int
+    ) -> list[Peer]:
+        """Returns peers with new descriptions, among those that news arrived of last.
+
+        News of an instance usually arrives in the order in which it was made.
+        """
+        latest = itertools.islice(reversed(arrivals), 4 * count)
+        return heapq.nlargest(
+            count,
+            (self.peers[instance] for instance in latest),
+            key=lambda peer: peer.reported_at,
         )
 
     def _list_full_mesh_hosts(self) -> list[str]:
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -4,21 +4,20 @@
 
 import math
 import zlib
+from typing import Annotated
 
 import msgspec
 
 from skylarkcart.errors import InvalidValueError
-from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
+from skylarkcart.types import AccountId, Count, InstanceId, SlowCall, Spending, ZoneId
 
 # Older descriptions of members are not useful: members are removed sooner.
 MAX_AGE_MS = 600_000.0
 
-# Bound of counters and revisions, which fit in a signed 64-bit integer.
-MAX_COUNT = 2**63 - 1
-
-
 UNKNOWN_RATE = -1.0
 
+_NOT_EMPTY = msgspec.Meta(min_length=1)
+
 
 class Member(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """An instance's description of itself, made ``age_ms`` before the report was sent.
@@ -29,19 +28,19 @@
     negative if it has not counted them for long enough.
     """
 
-    instance: InstanceId
-    zone: ZoneId
-    incarnation: int
-    host: str
-    sequence: int
+    instance: Annotated[InstanceId, _NOT_EMPTY]
+    zone: Annotated[ZoneId, _NOT_EMPTY]
+    incarnation: Count
+    host: Annotated[str, _NOT_EMPTY]
+    sequence: Count
     age_ms: float
-    revision: int
+    revision: Count
     is_leaving: bool
     reaches_store: bool
     spending: dict[AccountId, Spending]
     slow_calls: tuple[SlowCall, ...] = ()
     lost_zones: tuple[ZoneId, ...] = ()
-    requests_per_s: float = UNKNOWN_RATE
+    requests_per_s: Annotated[float, msgspec.Meta(ge=UNKNOWN_RATE)] = UNKNOWN_RATE
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -111,30 +110,15 @@
 
 
 def _check_member(member: Member) -> None:
-    if not member.instance or not member.host or not member.zone:
+    if not 0 <= member.age_ms <= MAX_AGE_MS:
         raise InvalidValueError(
-            where="member", value=member.instance, expected="a name, host and zone"
+            where="age", value=member.age_ms, expected=f"from 0 to {MAX_AGE_MS}"
         )
-    _check_in_range("age", member.age_ms, MAX_AGE_MS)
-    for name in ("incarnation", "sequence", "revision"):
-        _check_in_range(name, getattr(member, name), MAX_COUNT)
-    if member.requests_per_s != UNKNOWN_RATE:
-        _check_in_range("request rate", member.requests_per_s, MAX_COUNT)
     for spent in member.spending.values():
-        _check_in_range("spending", spent.total, MAX_COUNT)
-        _check_in_range("earlier spending", spent.earlier, spent.total)
-    for call in member.slow_calls:
-        _check_in_range("end of a slow call", call.ended_ago_ms, MAX_AGE_MS)
-        _check_in_range("duration of a slow call", call.duration_ms, MAX_AGE_MS)
-        _check_in_range("ratio of a slow call", call.ratio, MAX_COUNT)
-
-
-def _check_in_range(where: str, value: float, largest: float) -> None:
-    # A comparison with NaN is false.
-    if not 0 <= value <= largest:
-        raise InvalidValueError(
-            where=where, value=value, expected=f"a number from 0 to {largest}"
-        )
+        if spent.earlier > spent.total:
+            raise InvalidValueError(
+                where="earlier spending", value=spent.earlier, expected=spent.total
+            )
 
 
 def _check_numbers(where: str, *values: float) -> None:
--- a/src/skylarkcart/types.py
+++ b/src/skylarkcart/types.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
@@ -21,6 +21,13 @@
 GrantId = NewType("GrantId", str)
 
 
+# Numbers in messages of other processes. A message with a value out of its range, such
+# as a negative count or NaN, is not decoded.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Duration = Annotated[float, msgspec.Meta(ge=0.0, le=600_000.0)]
+Ratio = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**63)]
+
+
 class Role(enum.Enum):
     """Role of a process in the platform's instance list."""
 
@@ -69,8 +76,8 @@
     total.
     """
 
-    total: int
-    earlier: int
+    total: Count
+    earlier: Count
 
 
 class SlowCall(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -81,6 +88,6 @@
     """
 
     upstream: UpstreamId
-    ended_ago_ms: float
-    duration_ms: float
-    ratio: float
+    ended_ago_ms: Duration
+    duration_ms: Duration
+    ratio: Ratio
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -17,6 +17,7 @@
     decode_report,
     encode_report,
 )
+from skylarkcart.fleet._fleet import GOSSIP_UNRESPONSIVE_AFTER_MS
 from skylarkcart.types import AccountId, InstanceId, Spending, ZoneId
 
 ZONES = tuple(ZoneId(f"zone-{letter}") for letter in "abcd")
@@ -259,3 +260,52 @@
 
 def exchange(receiver: Fleet, sender: Fleet, **fields: object) -> None:
     receiver.apply_report(build_report(sender, 1_000, 0, **fields), Millis(1_000))
+
+
+def measure_description_ages(fleet_size: int, zone_count: int) -> list[float]:
+    """Runs rounds of reports and returns the age of each description of a peer."""
+    zones = tuple(ZoneId(f"zone-{number}") for number in range(zone_count))
+    instances = {
+        f"10.0.0.{index}": Fleet(
+            instance=InstanceId(f"instance-{index}"),
+            zone=zones[index % zone_count],
+            zones=zones,
+            host=f"10.0.0.{index}",
+            incarnation=1,
+            seed_hosts=("10.0.0.0", "10.0.0.1"),
+            random=random.Random(index),
+        )
+        for index in range(fleet_size)
+    }
+    now = Millis(0)
+    for now in map(Millis, range(0, 8_000, 200)):
+        for host, fleet in instances.items():
+            for target in fleet.choose_report_targets(now):
+                report = build_report(fleet, now, to=int(target.rpartition(".")[2]))
+                instances[target].apply_report(report, now)
+                if report.wants_reply:
+                    reply = build_report(
+                        instances[target],
+                        now,
+                        to=int(host.rpartition(".")[2]),
+                        wants_reply=False,
+                    )
+                    fleet.apply_report(reply, now)
+    return [
+        now - peer.reported_at
+        for fleet in instances.values()
+        for peer in fleet.peers.values()
+    ]
+
+
+def test_instances_of_a_large_fleet_hear_of_each_other_in_time() -> None:
+    """An instance that is not heard of for 4 s counts as silent.
+
+    When reports in a zone mostly described instances of the same zone, which hear each
+    other anyway, a quarter of a fleet of 195 counted as silent, and the accounts' tokens
+    were refilled at three quarters of their rates.
+    """
+    ages = measure_description_ages(fleet_size=120, zone_count=6)
+    silent = sum(age > GOSSIP_UNRESPONSIVE_AFTER_MS for age in ages)
+    assert silent <= 0.01 * len(ages)
+    assert sum(ages) / len(ages) < 1_500.0
