--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -302,8 +302,8 @@
     """An instance that is not heard of for 4 s counts as silent.
 
     When reports in a zone mostly described instances of the same zone, which hear each
-    other anyway, a quarter of a fleet of 195 counted as silent, and the accounts' tokens
-    were refilled at three quarters of their rates.
+    other anyway, a quarter of a fleet of 195 counted as silent, and the tokens of
+    accounts were refilled at three quarters of their rates.
     """
     ages = measure_description_ages(fleet_size=120, zone_count=6)
     silent = sum(age > GOSSIP_UNRESPONSIVE_AFTER_MS for age in ages)
