Cancel abandoned calls to slow upstreams at once

Cause: with two of a shard's three upstreams lost and the third slow, in two shards, a search is answered when one of the two has answered, and its call to the other one stayed open for 0.3 s, in the queue of the slow upstream. The queues were full of calls that nobody needed, and all searches were late.

--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -171,16 +171,20 @@
         """Ends a call whose response is no longer needed.
 
         A call that was sent keeps its connection for a short time: its response
-        probably arrives within that time, and the connection stays reusable.
+        probably arrives within that time, and the connection stays reusable. At a slow
+        upstream, it is closed at once, so that calls that are still needed don't wait
+        behind this one.
         """
         if call.is_ended:
             return
         call.is_ended = True
+        now = self._clock.now()
         if call.connection is None:
             self._connections[call.upstream].waiting.remove(call)
-            call.replica.end_call(
-                call.call_id, CallEnd.ABANDONED, now=self._clock.now()
-            )
+            call.replica.end_call(call.call_id, CallEnd.ABANDONED, now=now)
+            return
+        if call.is_idempotent and call.replica.is_slow(now):
+            self._close_abandoned(call, CallEnd.ABANDONED)
             return
         # A non-idempotent request that was sent may run to completion, so that it is
         # not interrupted between its effects.
@@ -188,7 +192,7 @@
             ABANDONED_CALL_LINGER_S if call.is_idempotent else NON_IDEMPOTENT_LINGER_S
         )
         loop = asyncio.get_running_loop()
-        loop.call_later(linger_s, self._close_abandoned, call)
+        loop.call_later(linger_s, self._close_abandoned, call, CallEnd.TIMED_OUT)
 
     def get_access(self, replica: Replica) -> Access:
         """Returns whether a call would find an idle connection or have to wait."""
@@ -380,15 +384,15 @@
             CallResult(end=CallEnd.CONNECTION_LOST, verdict=RunVerdict.MAY_HAVE_RUN),
         )
 
-    def _close_abandoned(self, call: Call) -> None:
+    def _close_abandoned(self, call: Call, end: CallEnd) -> None:
         connections = self._connections.get(call.upstream)
         connection = call.connection
         if connections is None or connections.busy.get(connection) is not call:
             return
         del connections.busy[connection]
         connection.close()
-        # An upstream that only paused briefly would have responded by now.
-        call.replica.end_call(call.call_id, CallEnd.TIMED_OUT, now=self._clock.now())
+        # An upstream that only paused briefly would have responded within the linger.
+        call.replica.end_call(call.call_id, end, now=self._clock.now())
         self._open_if_needed(call.replica, connections)
 
     def _finish_call(self, call: Call, result: CallResult) -> None:
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -218,6 +218,10 @@
                 return True
         return False
 
+    def is_slow(self, now: Millis) -> bool:
+        """Whether its latest calls took much longer than usual."""
+        return self.get_latency_ratio(now) >= SLOW_CALL_RATIO
+
     def get_latency_ratio(self, now: Millis) -> float:
         if self._latency_ratio == 1.0:
             return 1.0
