Give returning callers the tokens that a started process has

Cause: after an end of all processes, callers come back after a refusal or a reset.

Ruled out: a larger first fill, which would let a rolling restart exceed the rate.

Change: the reserve is a part of the highest level that the bucket has had in the process.

The new test fails before (0 of 20 admitted).

--- a/src/skylarkcart/quotas/_token_buckets.py
+++ b/src/skylarkcart/quotas/_token_buckets.py
@@ -22,9 +22,9 @@
 # buckets start with this fraction of the burst.
 INITIAL_FILL_FRACTION = 0.25
 
-# Fraction of the burst that is reserved for new requests, which can still be answered
+# Fraction of a bucket that is reserved for new requests, which can still be answered
 # in time. Retries after a refusal don't get it.
-RESERVED_BURST_RATIO = 0.3
+RESERVED_RATIO = 0.3
 
 # Limit of the debt from spending that was reported late, in seconds of the rate; about
 # the window in which operators check the rate. With a smaller limit, an account that
@@ -35,8 +35,10 @@
 class AccountQuota(msgspec.Struct, kw_only=True):
     """The token bucket of one account, as known to this instance.
 
-    ``level`` is in requests. ``spent`` counts the requests that this process admitted
-    since its start. It is reported to the other instances, which deduct the increase.
+    ``level`` is in requests. ``highest_level`` is the highest one so far: after a start
+    the bucket is low because little is known, not because the account spends too much.
+    ``spent`` counts the requests that this process admitted since its start. It is
+    reported to the other instances, which deduct the increase.
     """
 
     account: AccountId
@@ -44,18 +46,20 @@
     burst: float
     level: float
     refilled_at: Millis
+    highest_level: float = 0.0
     spent: int = 0
 
     def refill(self, now: Millis, *, reachable_fraction: float) -> None:
         elapsed_s = max(0.0, now - self.refilled_at) / MILLISECONDS_PER_SECOND
         refilled = elapsed_s * self.rate_per_s * reachable_fraction
         self.level = min(self.burst, self.level + refilled)
+        self.highest_level = max(self.highest_level, self.level)
         self.refilled_at = now
 
     def get_required_level(self, *, is_retry: bool) -> float:
         """Returns the lowest level at which a request is admitted."""
-        required = 1 + RESERVED_BURST_RATIO * self.burst if is_retry else 1
-        return min(required, self.burst)
+        reserve = RESERVED_RATIO * min(self.burst, self.highest_level)
+        return min(1 + reserve if is_retry else 1, self.burst)
 
     def deduct(self, requests: float) -> None:
         min_level = -MAX_DEBT_S * self.rate_per_s
--- a/tests/quotas/test_quotas.py
+++ b/tests/quotas/test_quotas.py
@@ -264,3 +264,29 @@
     for now in range(1_000, 7_000, 1_000):
         quotas.build_report(Millis(now))
     assert quotas.build_report(Millis(7_000)) == {}
+
+
+def test_callers_that_return_after_a_restart_get_the_tokens_that_are_there() -> None:
+    """All instances were ended; each caller has been refused or reset once.
+
+    A new process has a quarter of a burst, less than what was reserved for requests
+    that were never refused: it turned away all callers that came back.
+    """
+    quotas = Quotas()
+    quotas.configure(build_account(rate=40.0, burst=40.0), Millis(0))
+    admitted = [
+        quotas.try_spend(ACCOUNT, Millis(100), is_retry=True) for _ in range(20)
+    ]
+    assert 6 <= sum(admitted) <= 10
+    # A part of the bucket is left for requests that can still be answered in time.
+    assert quotas.try_spend(ACCOUNT, Millis(100))
+
+
+def test_reserve_grows_with_the_bucket() -> None:
+    quotas = Quotas()
+    quotas.configure(build_account(rate=40.0, burst=40.0), Millis(0))
+    assert quotas.try_spend(ACCOUNT, Millis(2_000))
+    admitted = [
+        quotas.try_spend(ACCOUNT, Millis(2_000), is_retry=True) for _ in range(40)
+    ]
+    assert sum(admitted) == 27
