Read the store at once when all instances have started together

Cause: a process that starts waits 150 ms for the state of its peers.

Change: it waits 50 ms if peers answer and none of them states that it has state. A process that hears no peer, or starts for the first time with all others, waits as before.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -34,9 +34,11 @@
 # after this time.
 READER_RETRY_MS = 2_000.0
 
-# Calls to the store are billed, so a starting process first waits for state from peers.
+# Calls to the store are billed, so a starting process first waits for state from peers,
+# for a shorter time if none of them states that it has any: all may have started.
 # When the whole fleet starts for the first time, a random delay spreads the instances.
 PEER_WAIT_MS = 150.0
+PEER_WAIT_WITHOUT_STATE_MS = 50.0
 FIRST_START_JITTER_MS = 5_000.0
 PEER_POLL_INTERVAL_MS = 25.0
 CONFIRMATION_WAIT_MS = 600.0
@@ -71,18 +73,31 @@
         wait_ms = PEER_WAIT_MS
         if core.settings.is_first_start:
             wait_ms += FIRST_START_JITTER_MS * core.random.random()
-        deadline = core.now + wait_ms
+        started_at = core.now
+        deadline = started_at + wait_ms
         while core.now < deadline and core.registry.confirmed_at is None:
             if core.registry.revision:
                 # The next reports of peers confirm the state that was transferred.
                 deadline = max(deadline, core.now + CONFIRMATION_WAIT_MS)
                 break
+            waited_ms = core.now - started_at
+            if waited_ms >= PEER_WAIT_WITHOUT_STATE_MS and self._is_restart_of_all():
+                return
             await asyncio.sleep(PEER_POLL_INTERVAL_MS / 1000.0)
         while core.now < deadline and core.registry.confirmed_at is None:
             await asyncio.sleep(PEER_POLL_INTERVAL_MS / 1000.0)
         # State that a peer transferred needs no snapshot; a watch can continue from it.
         self._needs_snapshot = core.registry.revision == 0
 
+    def _is_restart_of_all(self) -> bool:
+        """Whether all instances that were heard have just started, too."""
+        core = self._core
+        return (
+            not core.settings.is_first_start
+            and bool(core.fleet.peers)
+            and not core.fleet.list_peers_ahead(0, core.now)
+        )
+
     async def _run_step(self) -> None:
         core = self._core
         now = core.now
