Keep a shared budget within its limit while upstreams refuse every call

All upstreams of these shards were full; each search that waited called them again every 10 ms, and an instance hears of others' calls after 0.4 to 0.8 s.

Change: sums arrive every 200 ms instead of 400 ms in a zone, and calls of others since then are estimated from the last sums; 0.8 of the limit is used instead of 0.9; no further request gets extra calls while the others don't know yet of more calls of this instance than half of its part of what is left, and a request that got one gets them all; an upstream that refused is called again after 10, 10, 20, 40 ms and so on.

--- a/src/skylarkcart/budgets/__init__.py
+++ b/src/skylarkcart/budgets/__init__.py
@@ -4,12 +4,13 @@
 
 from skylarkcart.budgets._extra_calls import (
     ExtraCallBudget,
+    ExtraCallClaim,
     ExtraCallKind,
     FleetShare,
 )
 from skylarkcart.budgets._request_rate import RequestRate
 from skylarkcart.budgets._usage import (
-    COLLECTOR_ROUNDS,
+    ZONE_EXCHANGE_ROUNDS,
     SharedUsage,
     UsageCollector,
     UsageView,
@@ -27,8 +28,8 @@
 )
 
 __all__ = [
-    "COLLECTOR_ROUNDS",
     "ExtraCallBudget",
+    "ExtraCallClaim",
     "ExtraCallKind",
     "FleetShare",
     "FleetUsage",
@@ -40,6 +41,7 @@
     "UsageCollector",
     "UsageMessage",
     "UsageView",
+    "ZONE_EXCHANGE_ROUNDS",
     "ZoneUsage",
     "decode_usage",
     "encode_usage",
--- a/src/skylarkcart/budgets/_extra_calls.py
+++ b/src/skylarkcart/budgets/_extra_calls.py
@@ -27,7 +27,11 @@
 
 # Fraction of the fleet's limit that is used when its usage is known. The rest covers
 # calls that are made before the others know of them.
-SHARED_USABLE_RATIO = 0.9
+SHARED_USABLE_RATIO = 0.8
+
+# No further request gets extra calls while the others don't know yet of more calls of
+# this instance than this part of its fraction of what is left.
+MAX_UNHEARD_RATIO = 0.5
 
 # When less than 1/3 of a shared budget is left, only the requests with the lowest ranks
 # may use it, in proportion to what is left.
@@ -41,6 +45,19 @@
     RETRY = "retry"
 
 
+class ExtraCallClaim:
+    """The claim of one request to extra calls from budgets that the fleet shares.
+
+    Its first extra call decides for all: a search that may repeat only some of its
+    calls fails as a whole, and what it has used is lost. ``rank`` is a random number
+    from 0 to 1; when a budget runs short, requests with low ranks still get calls.
+    """
+
+    def __init__(self, *, rank: float) -> None:
+        self.rank = rank
+        self.is_granted: bool | None = None
+
+
 class FleetShare(msgspec.Struct, frozen=True, kw_only=True):
     """This instance's share of the fleet.
 
@@ -71,10 +88,8 @@
     at random, the fleet uses the sum of all fractions.
 
     If the usage of the whole fleet is known (`SharedUsage`), the instances share one
-    budget instead, whichever of them gets the requests. When it runs short, it goes to
-    some requests for all their calls, by ``rank``, a random number from 0 to 1 that is
-    drawn once for each request: a search that may repeat only some of its calls fails
-    as a whole.
+    budget instead, whichever of them gets the requests. It goes to some requests for
+    all their calls (`ExtraCallClaim`).
 
     >>> budget = ExtraCallBudget(
     ...     ratio=0.2, slack=56, window_ms=10_000, min_fraction=1.0, now=Millis(0)
@@ -154,13 +169,18 @@
         now: Millis,
         share: FleetShare,
         shared: SharedUsage | None = None,
-        rank: float = 0.0,
+        claim: ExtraCallClaim | None = None,
     ) -> bool:
-        """Records an extra call and returns True if the budget allows it."""
+        """Records an extra call and returns True if the budget allows it.
+
+        Without a claim, the call is the only one that the request needs.
+        """
         may_call = (
             self._may_use_own_share(kind, now, share)
             if shared is None
-            else self._may_use_shared(kind, share, shared, rank)
+            else self._may_use_shared(
+                kind, share, shared, claim or ExtraCallClaim(rank=0.0)
+            )
         )
         if may_call:
             self.record_extra_call(now)
@@ -175,13 +195,24 @@
         return remaining >= self._min_fraction
 
     def _may_use_shared(
-        self, kind: ExtraCallKind, share: FleetShare, shared: SharedUsage, rank: float
+        self,
+        kind: ExtraCallKind,
+        share: FleetShare,
+        shared: SharedUsage,
+        claim: ExtraCallClaim,
     ) -> bool:
         limit = self._get_shared_limit(share, shared)
         remaining = limit - shared.extra_calls
         if kind is ExtraCallKind.HEDGE:
             remaining -= (1 - HEDGE_BUDGET_RATIO) * limit
-        return remaining >= 1 and rank < SHARED_RANK_FACTOR * remaining / limit
+        if claim.is_granted is None:
+            max_unheard = MAX_UNHEARD_RATIO * remaining * share.fraction
+            claim.is_granted = shared.not_included < max(1.0, max_unheard)
+        return (
+            claim.is_granted
+            and remaining >= 1
+            and claim.rank < SHARED_RANK_FACTOR * remaining / limit
+        )
 
     def _get_shared_limit(self, share: FleetShare, shared: SharedUsage) -> float:
         settled_fraction = min(1.0, shared.settled_instances / max(1, share.size))
--- a/src/skylarkcart/budgets/_usage.py
+++ b/src/skylarkcart/budgets/_usage.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -24,9 +24,9 @@
 from skylarkcart.clock import Millis
 from skylarkcart.types import InstanceId, ServiceId, ZoneId
 
-# Instances send their usage in every round of reports. Collectors pass sums on in every
-# round of this number.
-COLLECTOR_ROUNDS = 2
+# Collectors exchange sums between zones once in this number of rounds of reports. All
+# other messages are sent in every round.
+ZONE_EXCHANGE_ROUNDS = 2
 
 # Older sums of a zone or of the fleet are not used: several messages were lost.
 MAX_SUM_AGE_MS = 1_500.0
@@ -34,19 +34,38 @@
 # Own messages that are remembered, to know which calls a sum does not include yet.
 REMEMBERED_MESSAGES = 16
 
+# Age of the calls that a sum includes when it arrives. The rate of further calls is
+# taken from sums that arrived at least this time apart.
+SUM_DELAY_MS = 400.0
+
 
 class SharedUsage(msgspec.Struct, frozen=True, kw_only=True):
     """A service's usage by all instances that share their budget, in one window.
 
-    ``settled_instances`` is their number. Instances that are not heard, or have just
-    started, use their own shares of the slack; the others may use the rest.
+    ``extra_calls`` includes an estimate of the calls that others have made since.
+    ``not_included`` are this instance's own ones of that time, which are included, too.
+    ``settled_instances`` is the number of instances. Those that are not heard, or have
+    just started, use their own shares of the slack; the others may use the rest.
     """
 
     requests: int
-    extra_calls: int
+    extra_calls: float
+    not_included: int
     settled_instances: int
 
 
+class _ReceivedSums(msgspec.Struct, frozen=True, kw_only=True):
+    """A message of a collector, with its services by their hash."""
+
+    received_at: Millis
+    message: FleetUsage
+    services: dict[int, ServiceUsage]
+
+    def get_extra_calls(self, service_hash: int) -> int:
+        usage = self.services.get(service_hash)
+        return 0 if usage is None else usage.extra_calls
+
+
 class UsageCollector:
     """The sums of a zone's instances, and of the other zones, at one collector."""
 
@@ -144,8 +163,8 @@
         self._sent_totals: collections.OrderedDict[int, Mapping[ServiceId, int]] = (
             collections.OrderedDict()
         )
-        self._sums: dict[InstanceId, tuple[Millis, FleetUsage]] = {}
-        self._services: dict[InstanceId, dict[int, ServiceUsage]] = {}
+        # The latest sums of each collector, and those of some time before.
+        self._sums: dict[InstanceId, collections.deque[_ReceivedSums]] = {}
 
     def build_instance(
         self,
@@ -182,10 +201,11 @@
 
     def apply_fleet(self, usage: FleetUsage, now: Millis) -> None:
         """Records the sums that a collector has sent."""
-        self._sums[usage.collector] = (now, usage)
-        self._services[usage.collector] = {
-            service.service_hash: service for service in usage.services
-        }
+        sums = self._sums.setdefault(usage.collector, collections.deque())
+        services = {service.service_hash: service for service in usage.services}
+        sums.append(_ReceivedSums(received_at=now, message=usage, services=services))
+        while len(sums) > 1 and now - sums[1].received_at >= SUM_DELAY_MS:
+            sums.popleft()
 
     def get_usage(
         self, service: ServiceId, *, in_window: int, total: int, now: Millis
@@ -193,42 +213,46 @@
         """Returns the fleet's usage of a service, or None if it is not known.
 
         ``in_window`` and ``total`` are this instance's extra calls to it in the window
-        and since the start. Those that a sum does not include yet are added. Of several
-        sums, that with the most calls counts.
+        and since the start. Those that a sum does not include yet are added, and an
+        estimate of those of others. Of several sums, that with the most calls counts.
         """
         known = []
-        for collector, (received_at, usage) in self._sums.items():
-            if now - received_at > MAX_SUM_AGE_MS:
+        for sums in self._sums.values():
+            latest = sums[-1]
+            if now - latest.received_at > MAX_SUM_AGE_MS:
                 continue
-            sent_totals = self._sent_totals.get(usage.included_sequence)
+            sent_totals = self._sent_totals.get(latest.message.included_sequence)
             not_included = (
                 in_window
                 if sent_totals is None
                 else max(0, total - sent_totals.get(service, 0))
             )
-            known.append(self._get_usage_from(collector, usage, service, not_included))
+            known.append(_estimate_usage(sums, service, not_included, now))
         return max(known, key=lambda usage: usage.extra_calls, default=None)
 
     def remove_old(self, now: Millis) -> None:
         """Removes the sums of collectors that are no longer heard."""
-        for collector, (received_at, _) in list(self._sums.items()):
-            if now - received_at > MAX_SUM_AGE_MS:
+        for collector, sums in list(self._sums.items()):
+            if now - sums[-1].received_at > MAX_SUM_AGE_MS:
                 del self._sums[collector]
-                del self._services[collector]
 
-    def _get_usage_from(
-        self,
-        collector: InstanceId,
-        usage: FleetUsage,
-        service: ServiceId,
-        not_included: int,
-    ) -> SharedUsage:
-        counted = self._services[collector].get(hash_service(service))
-        return SharedUsage(
-            requests=0 if counted is None else counted.requests,
-            extra_calls=not_included + (0 if counted is None else counted.extra_calls),
-            settled_instances=usage.settled_instances,
-        )
+
+def _estimate_usage(
+    sums: Sequence[_ReceivedSums], service: ServiceId, not_included: int, now: Millis
+) -> SharedUsage:
+    earlier, latest = sums[0], sums[-1]
+    service_hash = hash_service(service)
+    extra_calls = latest.get_extra_calls(service_hash)
+    duration_ms = max(SUM_DELAY_MS, latest.received_at - earlier.received_at)
+    increase = max(0, extra_calls - earlier.get_extra_calls(service_hash))
+    since_ms = SUM_DELAY_MS + now - latest.received_at
+    usage = latest.services.get(service_hash)
+    return SharedUsage(
+        requests=0 if usage is None else usage.requests,
+        extra_calls=extra_calls + not_included + increase * since_ms / duration_ms,
+        not_included=not_included,
+        settled_instances=latest.message.settled_instances,
+    )
 
 
 def _add_usage(
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -7,6 +7,7 @@
 
 from skylarkcart.budgets import (
     ExtraCallBudget,
+    ExtraCallClaim,
     ExtraCallKind,
     FleetShare,
     InstanceUsage,
@@ -243,18 +244,22 @@
         return budget
 
     def try_extra_call(
-        self, service: ServiceId, kind: ExtraCallKind, *, rank: float = 0.0
+        self,
+        service: ServiceId,
+        kind: ExtraCallKind,
+        *,
+        claim: ExtraCallClaim | None = None,
     ) -> bool:
         """Takes one call from a service's extra-call budget if any is left.
 
-        ``rank`` orders the requests when the budget runs short, from 0 to 1.
+        A request that may need several extra calls passes the same claim each time.
         """
         granted = self.get_extra_calls(service).try_spend(
             kind,
             now=self.now,
             share=self.fleet_share,
             shared=self._get_shared_usage(service),
-            rank=rank,
+            claim=claim,
         )
         self.metrics.count_extra_call(kind, granted=granted)
         return granted
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from skylarkcart.budgets import ExtraCallKind
+from skylarkcart.budgets import ExtraCallClaim, ExtraCallKind
 from skylarkcart.clock import Millis
 from skylarkcart.gateway._completion import (
     MILLISECONDS_PER_SECOND,
@@ -68,9 +68,7 @@
         self._retries = 0
         self._shards_without_budget: set[ServiceId] = set()
         self._has_started = False
-        # With the same rank for all its parts, a search gets all extra calls or none
-        # when the budgets run short.
-        self._rank = core.random.random()
+        self._claim = ExtraCallClaim(rank=core.random.random())
 
     def start(self) -> None:
         if not self._core.can_serve(self._route, self._core.now):
@@ -202,7 +200,7 @@
         if replica is None or (
             costs_budget
             and not self._core.try_extra_call(
-                part.shard, ExtraCallKind.RETRY, rank=self._rank
+                part.shard, ExtraCallKind.RETRY, claim=self._claim
             )
         ):
             part.retry_at = None
@@ -255,7 +253,7 @@
             if part in unsent_calls:
                 self._reassign(part, unsent_calls[part], replica)
             elif self._core.try_extra_call(
-                part.shard, ExtraCallKind.HEDGE, rank=self._rank
+                part.shard, ExtraCallKind.HEDGE, claim=self._claim
             ):
                 self._send(part, replica)
                 self._hedges += 1
--- a/src/skylarkcart/gateway/_usage_exchange.py
+++ b/src/skylarkcart/gateway/_usage_exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from skylarkcart.budgets import (
-    COLLECTOR_ROUNDS,
+    ZONE_EXCHANGE_ROUNDS,
     FleetUsage,
     InstanceUsage,
     UsageCollector,
@@ -56,12 +56,10 @@
         self._round += 1
         own_collectors = self._collectors[core.settings.zone]
         self._send_own_usage(own_collectors, now)
-        if self._round % COLLECTOR_ROUNDS:
-            return
         own_host = core.settings.peer_host
         if own_host in own_collectors:
             self._send_to_own_zone(now)
-        if own_host == own_collectors[0]:
+        if own_host == own_collectors[0] and self._round % ZONE_EXCHANGE_ROUNDS == 0:
             self._send_to_other_zones(now)
 
     def handle_datagram(self, data: bytes) -> None:
--- a/src/skylarkcart/scatter/_execution.py
+++ b/src/skylarkcart/scatter/_execution.py
@@ -9,8 +9,11 @@
 from skylarkcart.scatter._part import Part
 from skylarkcart.types import ServiceId, UpstreamId
 
-# Delay before an upstream that refused a request is called again with it.
+# Delay before an upstream that refused a request is called again with it. After the
+# first calls it doubles with each further one.
 REFUSED_RETRY_DELAY_MS = 10.0
+QUICK_REFUSED_RETRIES = 2
+MAX_REFUSED_RETRY_DOUBLINGS = 6
 
 
 class GatherDecision(enum.Enum):
@@ -83,7 +86,12 @@
 
     def schedule_retry(self, part: Part, now: Millis) -> None:
         """Plans another call to an upstream of the part that refused the request."""
-        part.retry_at = Millis(now + REFUSED_RETRY_DELAY_MS)
+        part.refused_retries += 1
+        doublings = min(
+            MAX_REFUSED_RETRY_DOUBLINGS,
+            max(0, part.refused_retries - QUICK_REFUSED_RETRIES),
+        )
+        part.retry_at = Millis(now + REFUSED_RETRY_DELAY_MS * 2**doublings)
 
     def list_due_retries(self, now: Millis) -> list[Part]:
         """Returns the parts whose planned calls are due."""
--- a/src/skylarkcart/scatter/_part.py
+++ b/src/skylarkcart/scatter/_part.py
@@ -11,7 +11,8 @@
 
     ``possible_runs`` counts the upstreams that may have run the request. An upstream
     that refused the request without running it is not counted. ``refusing`` are those
-    that were full; if no other upstream is left, they are called again at ``retry_at``.
+    that were full; if no other upstream is left, they are called again at ``retry_at``,
+    for the ``refused_retries``-th time.
     """
 
     def __init__(self, *, shard: ServiceId) -> None:
@@ -21,6 +22,7 @@
         self.possible_runs = 0
         self.refusing: list[UpstreamId] = []
         self.retry_at: Millis | None = None
+        self.refused_retries = 0
         self.has_failed = False
         self.signature: bytes | None = None
         self.body = b""
