Log which budget of extra calls a search had

Cause: a part that is lost because its shard's budget is empty was logged without a reason, as only refused hedges were counted in shards_without_budget, and nothing told whether an instance uses the fleet's budget or its own share.

--- a/src/skylarkcart/budgets/_usage.py
+++ b/src/skylarkcart/budgets/_usage.py
@@ -230,6 +230,11 @@
             known.append(_estimate_usage(sums, service, not_included, now))
         return max(known, key=lambda usage: usage.extra_calls, default=None)
 
+    @property
+    def has_sums(self) -> bool:
+        """Whether a collector was heard lately."""
+        return bool(self._sums)
+
     def remove_old(self, now: Millis) -> None:
         """Removes the sums of collectors that are no longer heard."""
         for collector, sums in list(self._sums.items()):
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -198,10 +198,7 @@
         """Calls another upstream for a part, which fails if that is impossible."""
         replica = self._choose_replica_except(part, excluded)
         if replica is None or (
-            costs_budget
-            and not self._core.try_extra_call(
-                part.shard, ExtraCallKind.RETRY, claim=self._claim
-            )
+            costs_budget and not self._try_extra_call(part, ExtraCallKind.RETRY)
         ):
             part.retry_at = None
             self._execution.record_failure(part)
@@ -209,6 +206,12 @@
         self._send(part, replica)
         self._retries += 1
 
+    def _try_extra_call(self, part: Part, kind: ExtraCallKind) -> bool:
+        granted = self._core.try_extra_call(part.shard, kind, claim=self._claim)
+        if not granted:
+            self._shards_without_budget.add(part.shard)
+        return granted
+
     def _send_due_retries(self, now: Millis) -> None:
         for part in self._execution.list_due_retries(now):
             self._retry(part, part.list_unrepeatable(), costs_budget=True)
@@ -252,13 +255,9 @@
                 continue
             if part in unsent_calls:
                 self._reassign(part, unsent_calls[part], replica)
-            elif self._core.try_extra_call(
-                part.shard, ExtraCallKind.HEDGE, claim=self._claim
-            ):
+            elif self._try_extra_call(part, ExtraCallKind.HEDGE):
                 self._send(part, replica)
                 self._hedges += 1
-            else:
-                self._shards_without_budget.add(part.shard)
 
     def _reassign(self, part: Part, call: Call, replica: Replica) -> None:
         """Moves an unsent call that waits for a connection to another upstream."""
@@ -332,8 +331,11 @@
             **self._get_log_fields(),
         )
 
-    def _get_log_fields(self) -> dict[str, float]:
-        """Returns the log fields for the request's deadline and extra calls."""
+    def _get_log_fields(self) -> dict[str, float | None]:
+        """Returns the log fields for the request's deadline and extra calls.
+
+        ``shares_budget`` is None if the request needed no call of a shared budget.
+        """
         return {
             "due_ms": round(
                 self._deadlines.soft_deadline - self._completion.arrived_at, 1
@@ -341,6 +343,7 @@
             "hedges": self._hedges,
             "retries": self._retries,
             "shards_without_budget": len(self._shards_without_budget),
+            "shares_budget": self._claim.is_granted,
         }
 
     def _list_missing_shards(self) -> list[str]:
--- a/src/skylarkcart/gateway/_usage_exchange.py
+++ b/src/skylarkcart/gateway/_usage_exchange.py
@@ -15,6 +15,7 @@
 )
 from skylarkcart.clock import Millis
 from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND
 from skylarkcart.types import ZoneId
 
 # The collectors are chosen again once in this number of rounds.
@@ -38,6 +39,7 @@
         self._send = send
         self._round = 0
         self._collectors: dict[ZoneId, tuple[str, ...]] = {}
+        self._had_sums = False
         self._collector = UsageCollector(
             instance=core.settings.instance,
             zone=core.settings.zone,
@@ -49,6 +51,7 @@
         core, now = self._core, self._core.now
         core.usage_view.remove_old(now)
         self._collector.remove_old(now)
+        self._log_change_of_budget()
         if not core.fleet.uses_gossip():
             return
         if self._round % CHOICE_ROUNDS == 0:
@@ -115,6 +118,13 @@
                 for host in hosts:
                     self._send(data, host)
 
+    def _log_change_of_budget(self) -> None:
+        has_sums = self._core.usage_view.has_sums
+        if has_sums != self._had_sums:
+            self._had_sums = has_sums
+            event = "usage_sums_received" if has_sums else "usage_sums_lost"
+            self._core.log.write(event, limit=MAX_DETAIL_LINES_PER_SECOND)
+
     def _count_settled(self, now: Millis) -> int:
         core = self._core
         window_ms = core.settings.bounds.extra_calls_window_ms
