Let errors of the usage exchange cost only themselves

Cause (read in the diff): an error in the exchange of usage would have ended the round of reports and delayed the next ones; a collector told instances without usage the sequence of its own message, which they could have taken for theirs; a report could state an infinite request rate, so that all others had no part of the budgets by traffic.

Tests: an error leaves reports running; impossible rates are rejected. 103 tests of budgets, fleet, exchange, hostile messages and confirmation passed.

--- a/src/skylarkcart/budgets/_usage.py
+++ b/src/skylarkcart/budgets/_usage.py
@@ -115,11 +115,8 @@
 
     def build_fleet(
         self, now: Millis, *, settled_instances: int
-    ) -> dict[InstanceId, FleetUsage]:
-        """Returns the message for each instance that has sent its usage.
-
-        That for all others is under this instance's own name.
-        """
+    ) -> tuple[FleetUsage, dict[InstanceId, FleetUsage]]:
+        """Returns the sums, and a message for each instance that has sent its usage."""
         sums = [self.build_zone(now, settled_instances=settled_instances)]
         sums += self._list_other_zones()
         fleet = FleetUsage(
@@ -134,8 +131,7 @@
             )
             for _, usage in self._instances.values()
         }
-        messages.setdefault(self._instance, fleet)
-        return messages
+        return fleet, messages
 
     def _list_other_zones(self) -> list[ZoneUsage]:
         """Returns the sums of each zone that is heard.
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -9,7 +9,15 @@
 import msgspec
 
 from skylarkcart.errors import InvalidValueError
-from skylarkcart.types import AccountId, Count, InstanceId, SlowCall, Spending, ZoneId
+from skylarkcart.types import (
+    MAX_NUMBER,
+    AccountId,
+    Count,
+    InstanceId,
+    SlowCall,
+    Spending,
+    ZoneId,
+)
 
 # Older descriptions of members are not useful: members are removed sooner.
 MAX_AGE_MS = 600_000.0
@@ -40,7 +48,9 @@
     spending: dict[AccountId, Spending]
     slow_calls: tuple[SlowCall, ...] = ()
     lost_zones: tuple[ZoneId, ...] = ()
-    requests_per_s: Annotated[float, msgspec.Meta(ge=UNKNOWN_RATE)] = UNKNOWN_RATE
+    requests_per_s: Annotated[float, msgspec.Meta(ge=UNKNOWN_RATE, le=MAX_NUMBER)] = (
+        UNKNOWN_RATE
+    )
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -73,9 +73,16 @@
         while True:
             self.send_reports()
             self._update_peers()
-            self._usage.run_round()
+            self._exchange_usage()
             await asyncio.sleep(REPORT_INTERVAL_MS / 1000.0)
 
+    def _exchange_usage(self) -> None:
+        try:
+            self._usage.run_round()
+        except Exception as error:
+            # Reports must go on.
+            self._core.record_error("usage", error)
+
     def send_reports(self) -> None:
         """Sends one round of reports."""
         now = self._core.now
--- a/src/skylarkcart/gateway/_usage_exchange.py
+++ b/src/skylarkcart/gateway/_usage_exchange.py
@@ -94,14 +94,14 @@
 
     def _send_to_own_zone(self, now: Millis) -> None:
         core = self._core
-        own_instance = core.settings.instance
-        messages = self._collector.build_fleet(
+        fleet_usage, messages = self._collector.build_fleet(
             now, settled_instances=self._count_settled(now)
         )
-        if not messages[own_instance].services:
+        if not fleet_usage.services:
             return
-        core.usage_view.apply_fleet(messages[own_instance], now)
-        common = encode_usage(messages[own_instance])
+        own_message = messages.get(core.settings.instance, fleet_usage)
+        core.usage_view.apply_fleet(own_message, now)
+        common = encode_usage(fleet_usage)
         for member in core.fleet.list_own_zone(now):
             message = messages.get(member.instance)
             self._send(
--- a/src/skylarkcart/types.py
+++ b/src/skylarkcart/types.py
@@ -25,7 +25,8 @@
 # as a negative count or NaN, is not decoded.
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Duration = Annotated[float, msgspec.Meta(ge=0.0, le=600_000.0)]
-Ratio = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**63)]
+MAX_NUMBER = 2.0**63
+Ratio = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
 
 
 class Role(enum.Enum):
--- a/tests/budgets/test_usage.py
+++ b/tests/budgets/test_usage.py
@@ -52,8 +52,8 @@
 
 
 def get_common(collector: UsageCollector, now: float) -> FleetUsage:
-    messages = collector.build_fleet(Millis(now), settled_instances=2)
-    return messages[InstanceId("c-1")]
+    fleet_usage, _ = collector.build_fleet(Millis(now), settled_instances=2)
+    return fleet_usage
 
 
 def test_sums_hold_all_instances_and_zones() -> None:
@@ -110,12 +110,12 @@
 def test_own_calls_count_before_a_sum_includes_them() -> None:
     collector, view = build_collector(), build_view("i-1")
     collector.apply_instance(build_usage(view, 10, 3), Millis(0))
-    messages = collector.build_fleet(Millis(0), settled_instances=1)
+    common, messages = collector.build_fleet(Millis(0), settled_instances=1)
     view.apply_fleet(messages[InstanceId("i-1")], Millis(0))
     usage = view.get_usage(SHARD, in_window=8, total=8, now=Millis(10))
     assert usage.extra_calls == 3 + 5
     # The message for others does not say which calls of this instance it includes.
-    view.apply_fleet(messages[InstanceId("c-1")], Millis(0))
+    view.apply_fleet(common, Millis(0))
     usage = view.get_usage(SHARD, in_window=8, total=8, now=Millis(10))
     assert usage.extra_calls == 3 + 8
 
--- a/tests/gateway/test_hostile_messages.py
+++ b/tests/gateway/test_hostile_messages.py
@@ -222,6 +222,13 @@
         decode_report(encode_report(build_report(age_ms=age_ms)))
 
 
+@pytest.mark.parametrize("rate", [-2.0, float("nan"), float("inf"), 1e300])
+def test_impossible_request_rate_is_rejected(rate: float) -> None:
+    """The others would take their part of the budgets for nothing."""
+    with pytest.raises(InvalidValueError):
+        decode_report(encode_report(build_report(requests_per_s=rate)))
+
+
 def test_peer_that_lacks_the_state_that_it_states_is_not_asked_in_a_loop() -> None:
     clock = ManualClock(start=Millis(5_000))
     core = build_core(clock)
--- a/tests/gateway/test_usage_exchange.py
+++ b/tests/gateway/test_usage_exchange.py
@@ -268,3 +268,12 @@
 @given(strategies.binary(max_size=100))
 def test_usage_of_any_bytes(data: bytes) -> None:
     run_with_datagrams([USAGE_PREFIX + data])
+
+
+def test_error_of_the_exchange_does_not_stop_reports() -> None:
+    core = build_core(ManualClock(start=Millis(30_000)))
+    link = PeerLink(core=core, incarnation=1)
+    link.connection_made(HostTransport(network=Network(), host="10.0.0.99"))
+    core.usage_view = None
+    link._exchange_usage()
+    assert count_internal_errors(core) == 1
