--- a/review/2/case.py
+++ b/review/2/case.py
@@ -40,14 +40,14 @@
 SLOW_S = 5.4
 
 # Gateways are down for this time after the kill, by their place in their zone.
-DOWN_S = (0.5, 1.2, 0.5)
+DOWN_S = (0.5, 1.5, 0.5)
 
-# Searchers of each service, as many as in the deployment.
+# Searchers of each service, as many as in the site file.
 SEARCHERS = {
     "buscador-noches": 30,
     "boletin-socios": 45,
-    "lista-anfitrion": 13,
-    "cobros-cuotas": 7,
+    "lista-anfitrion": 26,
+    "cobros-cuotas": 13,
 }
 
 # A range read returns at most this many items.
