Let an entry that can't be decoded harm nothing but itself

What callers saw: while an entry of another writer existed, no instance learned of any change.

Cause: decode_items took only InvalidValueError for a fault of one item. JSON that is nested about 1,000 deep raises RecursionError, also in a field that is skipped, and a port of more than 4,300 digits raises ValueError. Either ended the reading before the revision advanced, and the restarted task read the same item again.

Why it works: whatever decoding an item raises is logged with the item's key and concerns that item; the others are applied and the revision advances. Integers are bounded to 64 bits, since a state with greater ones can't be passed on; addresses are IPv4. The same errors are now handled in the state of a peer and in the settings, where they would have ended a task or the reload.

--- a/src/skylarkcart/errors.py
+++ b/src/skylarkcart/errors.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from skylarkcart.verdict import RunVerdict
 
+# Errors that a decoder raises for data of another process. Decoders are recursive, so
+# that deeply nested data raises RecursionError. Integers with thousands of digits raise
+# ValueError.
+DECODING_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
+
 
 class SkylarkcartError(Exception):
     """Base class of the errors raised by this package."""
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -8,7 +8,7 @@
 
 from skylarkcart.budgets import USAGE_PREFIX
 from skylarkcart.clock import Millis
-from skylarkcart.errors import InvalidValueError
+from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.fleet import (
     REPORT_INTERVAL_MS,
     OwnState,
@@ -207,12 +207,7 @@
             try:
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
                     published = await self._request_state(peer.host)
-            except (
-                OSError,
-                TimeoutError,
-                msgspec.DecodeError,
-                InvalidValueError,
-            ) as error:
+            except (OSError, TimeoutError, InvalidValueError) as error:
                 core.log.write(
                     "state_not_fetched", peer=peer.instance, detail=repr(error)
                 )
@@ -243,7 +238,21 @@
             writer.close()
         if not data:
             return None
+        return decode_state(data)
+
+
+def decode_state(data: bytes) -> Published:
+    """Decodes the published state that a peer sent.
+
+    Raises:
+        InvalidValueError: it is not a state.
+    """
+    try:
         return msgspec.msgpack.decode(data, type=Published)
+    except DECODING_ERRORS as error:
+        raise InvalidValueError(
+            where="state of a peer", value=data[:40], expected=f"a state: {error}"
+        ) from error
 
 
 async def _read_to_end(reader: asyncio.StreamReader) -> bytes:
--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
+import ipaddress
+from typing import Annotated, Any
 
 import msgspec
 
-from skylarkcart.errors import InvalidValueError
+from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.platform._names import (
     CLOSED_ZONE_PREFIX,
     CONFIGURATION_KEY,
@@ -24,10 +25,16 @@
     UpstreamEntry,
     UpstreamState,
 )
-from skylarkcart.types import AccountId, ServiceId, UpstreamId, ZoneId
+from skylarkcart.types import AccountId, Count, ServiceId, UpstreamId, ZoneId
 
 MILLISECONDS_PER_SECOND = 1000.0
 
+MAX_PORT = 65_535
+
+# Integers beyond 64 bits can't be passed on to other instances.
+Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+
 
 class _Document(msgspec.Struct, frozen=True, rename="camel"):
     pass
@@ -45,26 +52,26 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 0.0
-    max_attempts: int = 1
-    priority: int = 0
+    max_attempts: Integer = 1
+    priority: Integer = 0
     public: bool = False
     service: str | None = None
     split: tuple[_Share, ...] = ()
     gather: tuple[str, ...] = ()
-    top_k: int = 0
+    top_k: Count = 0
     min_coverage: float = 0.0
 
 
 class _Service(_Document, frozen=True):
     name: str
-    max_conns: int = 0
+    max_conns: Count = 0
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
 
 
 class _Limits(_Document, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 262_144
     header_timeout_ms: float = 3_000.0
     idle_timeout_ms: float = 15_000.0
 
@@ -72,13 +79,13 @@
 class _Tenant(_Document, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int = 0
+    priority: Integer = 0
     rate_per_s: float = 0.0
     burst: float = 0.0
 
 
 class _Configuration(_Document, frozen=True):
-    version: int
+    version: Count
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
@@ -89,11 +96,11 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Slots
     state: str
     cold_left_ms: float
     # Start time of the upstream's process in Unix milliseconds.
-    born: int | None = None
+    born: Integer | None = None
 
 
 def decode_configuration(data: bytes) -> Configuration:
@@ -156,19 +163,31 @@
 
 
 def decode_address(where: str, value: str) -> Address:
-    """Parses an address in the form ``a.b.c.d:port``."""
-    host, _, port = value.rpartition(":")
-    if host and port.isdecimal() and 0 < int(port) <= 65_535:
-        return Address(host=host, port=int(port))
-    raise InvalidValueError(
-        where=where, value=value, expected="an address such as 10.0.0.1:8080"
-    )
+    """Parses an address in the form ``a.b.c.d:port``.
+
+    >>> decode_address("address", "10.0.0.1:8080")
+    Address(host='10.0.0.1', port=8080)
+
+    Raises:
+        InvalidValueError: it is not an IPv4 address with a port.
+    """
+    host, _, port_text = value.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        port = int(port_text) if port_text.isdecimal() else 0
+    except ValueError:
+        port = 0
+    if not 0 < port <= MAX_PORT:
+        raise InvalidValueError(
+            where=where, value=value[:80], expected="an address such as 10.0.0.1:8080"
+        )
+    return Address(host=host, port=port)
 
 
 def _decode(where: str, data: bytes, document_type: type) -> Any:
     try:
         return msgspec.json.decode(data, type=document_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise InvalidValueError(
             where=where, value=data[:80], expected=f"a valid document: {error}"
         ) from error
--- a/src/skylarkcart/platform/_machine.py
+++ b/src/skylarkcart/platform/_machine.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from skylarkcart.errors import InvalidValueError
+from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.gateway_settings import Bounds, GatewaySettings
 from skylarkcart.platform._documents import decode_address
 from skylarkcart.types import InstanceId, ZoneId
@@ -79,7 +79,7 @@
         raise InvalidValueError(
             where="settings file", value=str(path), expected="a readable file"
         ) from error
-    except (msgspec.DecodeError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise InvalidValueError(
             where=str(path), value=data[:80], expected=f"valid settings: {error}"
         ) from error
--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -11,7 +11,7 @@
 import httptools
 import msgspec
 
-from skylarkcart.errors import SkylarkcartError
+from skylarkcart.errors import DECODING_ERRORS, SkylarkcartError
 from skylarkcart.platform._names import RANGE_PATH, WATCH_PATH
 from skylarkcart.published import Address, StoredItem
 
@@ -119,7 +119,7 @@
             raise StoreError(f"{path} returned status {status}, expected 200")
         try:
             return msgspec.json.decode(body, type=response_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             self.close()
             raise StoreError(f"{path} returned a malformed body: {error}") from error
 
--- a/src/skylarkcart/platform/_store_items.py
+++ b/src/skylarkcart/platform/_store_items.py
@@ -26,14 +26,15 @@
 
     A malformed upstream entry is treated as a deletion, because the upstream can't be
     used. A malformed configuration is skipped, so that the current one stays in force.
-    Each malformed item is passed to ``on_error``.
+    Each malformed item is passed to ``on_error``. No item prevents the others from
+    being decoded, whatever it contains.
     """
     changes = []
     for item in items:
         try:
             change = _decode_item(item)
-        except InvalidValueError as error:
-            on_error(error)
+        except Exception as error:
+            on_error(_describe_error(item, error))
             if item.key == CONFIGURATION_KEY:
                 continue
             change = Change(key=item.key, revision=item.revision, value=None)
@@ -42,6 +43,16 @@
     return changes
 
 
+def _describe_error(item: StoredItem, error: Exception) -> InvalidValueError:
+    if isinstance(error, InvalidValueError):
+        return error
+    return InvalidValueError(
+        where=item.key,
+        value=(item.value or b"")[:80],
+        expected=f"a valid document: {error!r}",
+    )
+
+
 def _decode_item(item: StoredItem) -> Change | None:
     if item.key == CONFIGURATION_KEY:
         if item.value is None:
--- a/tests/gateway/test_hostile_messages.py
+++ b/tests/gateway/test_hostile_messages.py
@@ -21,7 +21,7 @@
 from skylarkcart.fleet import Member, Report, decode_report, encode_report
 from skylarkcart.gateway._caller_connection import CallerConnection
 from skylarkcart.gateway._core import Core
-from skylarkcart.gateway._peers import PeerLink
+from skylarkcart.gateway._peers import PeerLink, decode_state
 from skylarkcart.gateway._requests import RequestService
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.published import StoredItem
@@ -325,6 +325,13 @@
         exercise(core)
 
 
+def test_nested_state_is_rejected_like_any_malformed_one() -> None:
+    """Any other error would end the task that fetches state from peers."""
+    nested = b"\x81\xa6labels" + b"\x91" * 3_000 + b"\xc0"
+    with pytest.raises(InvalidValueError):
+        decode_state(nested)
+
+
 def exercise(core: Core) -> None:
     """Runs what the maintenance and reports do with the published state."""
     now = core.now
