Apply a published change only if it is newer than what is known

The missing order is in other ways in, too: a late watch after a transfer, a transfer with the removal and the return of a zone, a transfer older than a late page.

Why it works: a change is applied only if its revision is greater than the state's and than that of its key; removals are kept by key and obey the same order. Absence in a full read or a whole transfer counts as a removal at the revision of that state. Keys are typed and compared whole, so that an upstream's entry no longer touches a zone or the configuration of the same name.

--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -8,11 +8,7 @@
 import msgspec
 
 from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
-from skylarkcart.platform._names import (
-    CLOSED_ZONE_PREFIX,
-    CONFIGURATION_KEY,
-    UPSTREAM_PREFIX,
-)
+from skylarkcart.platform._names import CONFIGURATION_KEY, UPSTREAM_PREFIX
 from skylarkcart.published import (
     Account,
     Address,
@@ -153,15 +149,6 @@
     )
 
 
-def decode_closed_zone(key: str) -> ZoneId:
-    """Returns the availability zone that a key marks as closed.
-
-    >>> decode_closed_zone("op/evacuate/zone-a")
-    'zone-a'
-    """
-    return ZoneId(key.removeprefix(CLOSED_ZONE_PREFIX))
-
-
 def decode_address(where: str, value: str) -> Address:
     """Parses an address in the form ``a.b.c.d:port``.
 
--- a/src/skylarkcart/platform/_store_items.py
+++ b/src/skylarkcart/platform/_store_items.py
@@ -5,18 +5,23 @@
 from collections.abc import Callable, Iterable
 
 from skylarkcart.errors import InvalidValueError
-from skylarkcart.platform._documents import (
-    decode_closed_zone,
-    decode_configuration,
-    decode_upstream,
-)
+from skylarkcart.platform._documents import decode_configuration, decode_upstream
 from skylarkcart.platform._names import (
     CLOSED_ZONE_PREFIX,
-    CONFIGURATION_KEY,
+    CONFIGURATION_KEY as STORED_CONFIGURATION_KEY,
     UPSTREAM_PREFIX,
 )
-from skylarkcart.published import StoredItem
-from skylarkcart.registry import Change, ClosedZone
+from skylarkcart.published import Configuration, StoredItem, UpstreamEntry
+from skylarkcart.registry import (
+    CONFIGURATION_KEY,
+    Change,
+    ClosedZone,
+    ItemKey,
+    ItemKind,
+    build_upstream_key,
+    build_zone_key,
+)
+from skylarkcart.types import UpstreamId, ZoneId
 
 
 def decode_items(
@@ -31,15 +36,16 @@
     """
     changes = []
     for item in items:
+        key = _decode_key(item.key)
+        if key is None:
+            continue
         try:
-            change = _decode_item(item)
+            value = _decode_value(key, item)
         except Exception as error:
             on_error(_describe_error(item, error))
-            if item.key == CONFIGURATION_KEY:
-                continue
-            change = Change(key=item.key, revision=item.revision, value=None)
-        if change is not None:
-            changes.append(change)
+            value = None
+        if value is not None or key.kind is not ItemKind.CONFIGURATION:
+            changes.append(Change(key=key, revision=item.revision, value=value))
     return changes
 
 
@@ -53,19 +59,31 @@
     )
 
 
-def _decode_item(item: StoredItem) -> Change | None:
-    if item.key == CONFIGURATION_KEY:
-        if item.value is None:
-            return None
-        value = decode_configuration(item.value)
-    elif item.key.startswith(CLOSED_ZONE_PREFIX):
-        value = None
-        if item.value is not None:
-            value = ClosedZone(zone=decode_closed_zone(item.key))
-    elif item.key.startswith(UPSTREAM_PREFIX):
-        value = None
-        if item.value is not None:
-            value = decode_upstream(item.key, item.value)
-    else:
+def _decode_key(key: str) -> ItemKey | None:
+    """Decodes a key of the store, or returns None if the gateway doesn't use it.
+
+    >>> _decode_key("op/evacuate/zone-a")
+    ItemKey(kind=<ItemKind.CLOSED_ZONE: 'closed_zone'>, name='zone-a')
+    """
+    if key == STORED_CONFIGURATION_KEY:
+        return CONFIGURATION_KEY
+    if key.startswith(CLOSED_ZONE_PREFIX):
+        return build_zone_key(ZoneId(key.removeprefix(CLOSED_ZONE_PREFIX)))
+    if key.startswith(UPSTREAM_PREFIX):
+        return build_upstream_key(UpstreamId(key.removeprefix(UPSTREAM_PREFIX)))
+    return None
+
+
+def _decode_value(
+    key: ItemKey, item: StoredItem
+) -> Configuration | UpstreamEntry | ClosedZone | None:
+    if item.value is None:
         return None
-    return Change(key=item.key, revision=item.revision, value=value)
+    match key.kind:
+        case ItemKind.CONFIGURATION:
+            return decode_configuration(item.value)
+        case ItemKind.CLOSED_ZONE:
+            # The value of the item has no meaning.
+            return ClosedZone(zone=ZoneId(key.name))
+        case ItemKind.UPSTREAM:
+            return decode_upstream(item.key, item.value)
--- a/src/skylarkcart/registry/__init__.py
+++ b/src/skylarkcart/registry/__init__.py
@@ -2,24 +2,34 @@
 
 from __future__ import annotations
 
-from skylarkcart.registry._registry import (
+from skylarkcart.registry._messages import (
+    CONFIGURATION_KEY,
     Change,
     ClosedZone,
+    ItemKey,
+    ItemKind,
     LapsedEntry,
     Published,
     PublishedEntry,
-    Registry,
     RegistryEvent,
     Removal,
+    build_upstream_key,
+    build_zone_key,
 )
+from skylarkcart.registry._registry import Registry
 
 __all__ = [
+    "CONFIGURATION_KEY",
     "Change",
     "ClosedZone",
+    "ItemKey",
+    "ItemKind",
     "LapsedEntry",
     "Published",
     "PublishedEntry",
     "Registry",
     "RegistryEvent",
     "Removal",
+    "build_upstream_key",
+    "build_zone_key",
 ]
--- /dev/null
+++ b/src/skylarkcart/registry/_messages.py
@@ -0,0 +1,105 @@
+"""Changes of the published state, and the state that instances pass to each other."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from skylarkcart.published import Configuration, UpstreamEntry
+from skylarkcart.types import UpstreamId, ZoneId
+
+
+class ItemKind(enum.Enum):
+    """What an item of the store describes."""
+
+    CONFIGURATION = "configuration"
+    CLOSED_ZONE = "closed_zone"
+    UPSTREAM = "upstream"
+
+
+class ItemKey(msgspec.Struct, frozen=True, array_like=True):
+    """The key of an item. Items of different kinds may have the same name."""
+
+    kind: ItemKind
+    name: str
+
+
+CONFIGURATION_KEY = ItemKey(ItemKind.CONFIGURATION, "")
+
+
+def build_zone_key(zone: ZoneId) -> ItemKey:
+    return ItemKey(ItemKind.CLOSED_ZONE, zone)
+
+
+def build_upstream_key(upstream: UpstreamId) -> ItemKey:
+    return ItemKey(ItemKind.UPSTREAM, upstream)
+
+
+class ClosedZone(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An availability zone whose upstreams get no new calls."""
+
+    zone: ZoneId
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """The new value of a key, or its deletion if ``value`` is None.
+
+    An entry that can't be decoded is treated as a deletion, as it can't be used.
+    """
+
+    key: ItemKey
+    revision: int
+    value: Configuration | UpstreamEntry | ClosedZone | None
+
+
+class Removal(msgspec.Struct, frozen=True, kw_only=True):
+    """A key that was deleted at a revision."""
+
+    key: ItemKey
+    revision: int
+
+
+class PublishedEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """An upstream's entry and its revision."""
+
+    revision: int
+    entry: UpstreamEntry
+
+
+class LapsedEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry that is missing since an outage of the store.
+
+    Its upstream still gets calls for ``left_ms``.
+    """
+
+    entry: UpstreamEntry
+    left_ms: float
+
+
+class Published(msgspec.Struct, frozen=True, kw_only=True):
+    """Published state, as transferred between instances.
+
+    If ``since`` is 0, it holds the whole state at ``revision``. Otherwise it holds the
+    changes after the revision ``since``, and ``configuration`` is None if unchanged.
+    ``closed_zones`` are always all closed zones. ``confirmed_age_ms`` is the time since
+    the sender last knew the state to be current, negative if it never did.
+    """
+
+    since: int
+    revision: int
+    configuration_revision: int
+    configuration: Configuration | None
+    closed_zones: tuple[ZoneId, ...]
+    upstreams: tuple[PublishedEntry, ...]
+    removals: tuple[Removal, ...]
+    lapsed: tuple[LapsedEntry, ...]
+    confirmed_age_ms: float = -1.0
+
+
+class RegistryEvent(msgspec.Struct, frozen=True, kw_only=True):
+    """A change of the published state, for the log."""
+
+    name: str
+    subject: str
+    detail: str
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -1,14 +1,31 @@
-"""Published state, ordered by store revision, and the time of its confirmation."""
+"""Published state, ordered by store revision, and the time of its confirmation.
 
-from __future__ import annotations
+A change is applied only if it is newer than the whole state and than what is known of
+its key, whichever way it arrives: from a full read, a watch or another instance. The
+state at a revision includes all changes up to it, so that a result which arrives late
+never undoes a newer change.
+"""
 
-import collections
-from collections.abc import Callable, Iterable
+from __future__ import annotations
 
-import msgspec
+from collections.abc import Callable, Iterable, Set
 
 from skylarkcart.clock import Millis
 from skylarkcart.published import Configuration, RegisteredUpstream, UpstreamEntry
+from skylarkcart.registry._messages import (
+    CONFIGURATION_KEY,
+    Change,
+    ClosedZone,
+    ItemKey,
+    ItemKind,
+    LapsedEntry,
+    Published,
+    PublishedEntry,
+    RegistryEvent,
+    Removal,
+    build_upstream_key,
+    build_zone_key,
+)
 from skylarkcart.types import UpstreamId, ZoneId
 
 # Entries that lapsed during an outage of the store are restored within two seconds of
@@ -19,74 +36,8 @@
 # state.
 MAX_REMOVAL_HISTORY = 512
 
-
-class ClosedZone(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """An availability zone whose upstreams get no new calls."""
-
-    zone: ZoneId
-
-
-class Change(msgspec.Struct, frozen=True, kw_only=True):
-    """The new value of a key, or its deletion if ``value`` is None.
-
-    An entry that can't be decoded is treated as a deletion, as it can't be used.
-    """
-
-    key: str
-    revision: int
-    value: Configuration | UpstreamEntry | ClosedZone | None
-
-
-class Removal(msgspec.Struct, frozen=True, kw_only=True):
-    """A key that was deleted at a revision."""
-
-    key: str
-    revision: int
-
-
-class PublishedEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """An upstream's entry and its revision."""
-
-    revision: int
-    entry: UpstreamEntry
-
-
-class LapsedEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """An entry that is missing since an outage of the store.
-
-    Its upstream still gets calls for ``left_ms``.
-    """
-
-    entry: UpstreamEntry
-    left_ms: float
-
-
-class Published(msgspec.Struct, frozen=True, kw_only=True):
-    """Published state, as transferred between instances.
-
-    If ``since`` is 0, it holds the whole state at ``revision``. Otherwise it holds the
-    changes after the revision ``since``, and ``configuration`` is None if unchanged.
-    ``confirmed_age_ms`` is the time since the sender last knew it to be current,
-    negative if it never did.
-    """
-
-    since: int
-    revision: int
-    configuration_revision: int
-    configuration: Configuration | None
-    closed_zones: tuple[ZoneId, ...]
-    upstreams: tuple[PublishedEntry, ...]
-    removals: tuple[Removal, ...]
-    lapsed: tuple[LapsedEntry, ...]
-    confirmed_age_ms: float = -1.0
-
-
-class RegistryEvent(msgspec.Struct, frozen=True, kw_only=True):
-    """A change of the published state, for the log."""
-
-    name: str
-    subject: str
-    detail: str
+# Without a configuration, the current one stays in force.
+_REMOVABLE_KINDS = frozenset({ItemKind.CLOSED_ZONE, ItemKind.UPSTREAM})
 
 
 class Registry:
@@ -100,10 +51,12 @@
 
     def __init__(self, *, on_event: Callable[[RegistryEvent], None]) -> None:
         self._event_handler = on_event
-        self._revisions: dict[str, int] = {}
+        # Revisions of the items that exist.
+        self._revisions: dict[ItemKey, int] = {}
         self._entries: dict[UpstreamId, RegisteredUpstream] = {}
         self._lapsed: dict[UpstreamId, tuple[RegisteredUpstream, Millis]] = {}
-        self._removals: collections.deque[Removal] = collections.deque()
+        # Revisions of the latest removals, oldest first.
+        self._removals: dict[ItemKey, int] = {}
         # Removals up to this revision are no longer in the history.
         self._removal_history_start = 0
         self._store_was_unreachable = False
@@ -122,22 +75,28 @@
     def apply_snapshot(
         self, changes: Iterable[Change], *, revision: int, now: Millis
     ) -> None:
-        """Replaces the state with the result of a full read."""
-        changes_by_key = {_get_last_key_part(change.key): change for change in changes}
-        for change in changes_by_key.values():
+        """Replaces the state with the result of a full read.
+
+        ``revision`` is the store's revision when the read began; changes may be newer.
+        A read that is not newer than the known state is ignored: while its pages
+        arrived, another instance has passed on a later state.
+        """
+        if revision <= self.revision:
+            self._emit_event(
+                "full_read_ignored",
+                revision,
+                f"the state is known at revision {self.revision}",
+            )
+            return
+        present = set()
+        for change in changes:
+            if change.value is not None:
+                present.add(change.key)
             self._apply_change(change, now)
-        present = {
-            change.value.upstream
-            for change in changes_by_key.values()
-            if isinstance(change.value, UpstreamEntry)
-        }
-        for upstream in set(self._entries) - present:
-            self._remove_upstream(upstream, now)
-        for zone in self.closed_zones - set(changes_by_key):
-            self._reopen_zone(ZoneId(zone))
-        self.revision = max(self.revision, revision)
-        self._removals.clear()
-        self._removal_history_start = self.revision
+        for change in self._list_missing(_REMOVABLE_KINDS, present, revision):
+            self._apply_change(change, now)
+        self.revision = revision
+        self._clear_removals()
 
     def apply_changes(
         self, changes: Iterable[Change], *, revision: int, now: Millis
@@ -154,31 +113,60 @@
         """
         if published.revision <= self.revision or published.since > self.revision:
             return False
-        if published.configuration is not None:
-            self._configuration_revision = published.configuration_revision
-            self._adopt_configuration(published.configuration)
-        self._adopt_closed_zones(published.closed_zones)
-        for known in published.upstreams:
-            key = known.entry.upstream
-            self._apply_change(
-                Change(key=key, revision=known.revision, value=known.entry), now
-            )
-        for removal in published.removals:
-            self._apply_change(
-                Change(key=removal.key, revision=removal.revision, value=None), now
-            )
-        if published.since == 0:
-            present = {known.entry.upstream for known in published.upstreams}
-            for upstream in set(self._entries) - present:
-                self._remove_upstream(upstream, now)
-            self._removals.clear()
-            self._removal_history_start = published.revision
+        for change in self._list_adopted_changes(published):
+            self._apply_change(change, now)
         for lapsed in published.lapsed:
             self._adopt_lapsed_entry(lapsed, now)
         self.revision = published.revision
+        if published.since == 0:
+            self._clear_removals()
         self._store_was_unreachable = False
         return True
 
+    def _list_adopted_changes(self, published: Published) -> list[Change]:
+        changes = [
+            Change(
+                key=build_upstream_key(known.entry.upstream),
+                revision=known.revision,
+                value=known.entry,
+            )
+            for known in published.upstreams
+        ]
+        changes += [
+            Change(
+                key=build_zone_key(zone),
+                revision=published.revision,
+                value=ClosedZone(zone=zone),
+            )
+            for zone in published.closed_zones
+        ]
+        present = {change.key for change in changes}
+        # The closed zones are complete also in a partial state.
+        complete = {ItemKind.CLOSED_ZONE} if published.since else _REMOVABLE_KINDS
+        changes += self._list_missing(complete, present, published.revision)
+        changes += [
+            Change(key=removal.key, revision=removal.revision, value=None)
+            for removal in published.removals
+        ]
+        if published.configuration is not None:
+            configuration = Change(
+                key=CONFIGURATION_KEY,
+                revision=published.configuration_revision,
+                value=published.configuration,
+            )
+            changes.append(configuration)
+        return changes
+
+    def _list_missing(
+        self, kinds: Set[ItemKind], present: Set[ItemKey], revision: int
+    ) -> list[Change]:
+        """Returns the removals of items that do not exist at a revision."""
+        return [
+            Change(key=key, revision=revision, value=None)
+            for key in self._revisions
+            if key.kind in kinds and key not in present
+        ]
+
     def _adopt_lapsed_entry(self, lapsed: LapsedEntry, now: Millis) -> None:
         """Keeps an entry that lapsed at a peer for the time that is left to it.
 
@@ -257,9 +245,13 @@
             upstreams=tuple(
                 PublishedEntry(revision=revision, entry=known.entry)
                 for upstream, known in self._entries.items()
-                if (revision := self._revisions[upstream]) > since
+                if (revision := self._revisions[build_upstream_key(upstream)]) > since
+            ),
+            removals=tuple(
+                Removal(key=key, revision=revision)
+                for key, revision in self._removals.items()
+                if revision > since > 0
             ),
-            removals=tuple(r for r in self._removals if r.revision > since > 0),
             lapsed=tuple(
                 LapsedEntry(entry=known.entry, left_ms=expires_at - now)
                 for known, expires_at in self._lapsed.values()
@@ -270,15 +262,15 @@
         )
 
     def _apply_change(self, change: Change, now: Millis) -> None:
-        key = _get_last_key_part(change.key)
-        if change.revision <= self._revisions.get(key, 0):
+        if change.revision <= self._get_known_revision(change.key):
             return
         if change.value is None:
-            self._revisions.pop(key, None)
-            self._append_removal(Removal(key=change.key, revision=change.revision))
-            self._apply_deletion(key, now)
+            self._revisions.pop(change.key, None)
+            self._record_removal(change.key, change.revision)
+            self._apply_deletion(change.key, now)
             return
-        self._revisions[key] = change.revision
+        self._revisions[change.key] = change.revision
+        self._removals.pop(change.key, None)
         match change.value:
             case Configuration() as configuration:
                 self._configuration_revision = change.revision
@@ -288,14 +280,18 @@
             case ClosedZone(zone=zone):
                 self._close_zone(zone)
 
-    def _apply_deletion(self, key: str, now: Millis) -> None:
-        zone = ZoneId(key)
-        if zone in self.closed_zones:
-            self._reopen_zone(zone)
-            return
-        upstream = UpstreamId(key)
-        if upstream in self._entries:
-            self._remove_upstream(upstream, now)
+    def _get_known_revision(self, key: ItemKey) -> int:
+        """Returns the revision up to which all changes of a key are known."""
+        return max(
+            self.revision, self._revisions.get(key, 0), self._removals.get(key, 0)
+        )
+
+    def _apply_deletion(self, key: ItemKey, now: Millis) -> None:
+        match key.kind:
+            case ItemKind.CLOSED_ZONE:
+                self._reopen_zone(ZoneId(key.name))
+            case ItemKind.UPSTREAM:
+                self._remove_upstream(UpstreamId(key.name), now)
 
     def _adopt_configuration(self, configuration: Configuration) -> None:
         current = self.configuration
@@ -307,13 +303,6 @@
             "configuration_adopted", configuration.version, f"after {previous_version}"
         )
 
-    def _adopt_closed_zones(self, zones: Iterable[ZoneId]) -> None:
-        closed = set(zones)
-        for zone in closed - self.closed_zones:
-            self._close_zone(zone)
-        for zone in self.closed_zones - closed:
-            self._reopen_zone(zone)
-
     def _put_upstream(self, entry: UpstreamEntry, now: Millis) -> None:
         self._lapsed.pop(entry.upstream, None)
         known = self._entries.get(entry.upstream)
@@ -325,8 +314,9 @@
             self._emit_event("upstream_entry", entry.upstream, detail)
 
     def _remove_upstream(self, upstream: UpstreamId, now: Millis) -> None:
-        known = self._entries.pop(upstream)
-        self._revisions.pop(upstream, None)
+        known = self._entries.pop(upstream, None)
+        if known is None:
+            return
         grace_end = self._store_recovered_at + LAPSED_ENTRY_GRACE_MS
         if self._store_was_unreachable or now < grace_end:
             expires_at = Millis(grace_end)
@@ -347,20 +337,25 @@
             self._emit_event("zone_closed", zone, f"revision {self.revision}")
 
     def _reopen_zone(self, zone: ZoneId) -> None:
-        self.closed_zones.discard(zone)
-        self._emit_event("zone_reopened", zone, f"revision {self.revision}")
+        if zone in self.closed_zones:
+            self.closed_zones.remove(zone)
+            self._emit_event("zone_reopened", zone, f"revision {self.revision}")
 
-    def _append_removal(self, removal: Removal) -> None:
-        self._removals.append(removal)
+    def _record_removal(self, key: ItemKey, revision: int) -> None:
+        self._removals.pop(key, None)
+        self._removals[key] = revision
         if len(self._removals) > MAX_REMOVAL_HISTORY:
-            self._removal_history_start = self._removals.popleft().revision
+            oldest = next(iter(self._removals))
+            self._removal_history_start = max(
+                self._removal_history_start, self._removals.pop(oldest)
+            )
+
+    def _clear_removals(self) -> None:
+        """Forgets removals, after a state that did not list them."""
+        self._removals.clear()
+        self._removal_history_start = self.revision
 
     def _emit_event(self, name: str, subject: object, detail: str) -> None:
         self._event_handler(
             RegistryEvent(name=name, subject=str(subject), detail=detail)
         )
-
-
-def _get_last_key_part(key: str) -> str:
-    """Returns the last part of a key, which is the id of an upstream or zone."""
-    return key.rpartition("/")[2]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -12,6 +12,8 @@
 from skylarkcart.platform._machine import read_machine_settings
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.published import StoredItem, UpstreamState
+from skylarkcart.registry import build_upstream_key, build_zone_key
+from skylarkcart.types import UpstreamId, ZoneId
 from tests.gateway.standins import build_configuration
 
 ENTRY = {
@@ -109,10 +111,10 @@
     ]
     changes = decode_items(items, on_error=errors.append)
     assert [change.key for change in changes] == [
-        "servers/i-1",
-        "servers/i-2",
-        "op/evacuate/zone-a",
-        "op/evacuate/zone-b",
+        build_upstream_key(UpstreamId("i-1")),
+        build_upstream_key(UpstreamId("i-2")),
+        build_zone_key(ZoneId("zone-a")),
+        build_zone_key(ZoneId("zone-b")),
     ]
     assert changes[0].value is None and changes[3].value is None
     assert len(errors) == 2
--- a/tests/platform/test_entries_of_other_writers.py
+++ b/tests/platform/test_entries_of_other_writers.py
@@ -18,6 +18,8 @@
 from skylarkcart.platform._machine import read_machine_settings
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.published import StoredItem
+from skylarkcart.registry import build_upstream_key, build_zone_key
+from skylarkcart.types import UpstreamId, ZoneId
 from tests.gateway.standins import build_configuration
 from tests.platform.test_documents import ENTRY
 from tests.registry.test_registry import build_registry, transfer_state
@@ -93,7 +95,10 @@
         StoredItem(key="op/evacuate/zone-a", revision=2, value=b"{}"),
     ]
     changes = decode_items(items, on_error=errors.append)
-    assert [change.key for change in changes] == ["servers/i-1", "op/evacuate/zone-a"]
+    assert [change.key for change in changes] == [
+        build_upstream_key(UpstreamId("i-1")),
+        build_zone_key(ZoneId("zone-a")),
+    ]
     assert changes[0].value is None
     assert "servers/i-1" in str(errors[0]) and "ZeroDivisionError" in str(errors[0])
 
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -13,7 +13,15 @@
     UpstreamEntry,
     UpstreamState,
 )
-from skylarkcart.registry import Change, ClosedZone, Published, Registry
+from skylarkcart.registry import (
+    CONFIGURATION_KEY,
+    Change,
+    ClosedZone,
+    Published,
+    Registry,
+    build_upstream_key,
+    build_zone_key,
+)
 from skylarkcart.types import ServiceId, UpstreamId, ZoneId
 
 FIRST = UpstreamId("i-1")
@@ -47,12 +55,12 @@
 
 def put(upstream: UpstreamId, revision: int) -> Change:
     return Change(
-        key=f"servers/{upstream}", revision=revision, value=build_entry(upstream)
+        key=build_upstream_key(upstream), revision=revision, value=build_entry(upstream)
     )
 
 
 def delete(upstream: UpstreamId, revision: int) -> Change:
-    return Change(key=f"servers/{upstream}", revision=revision, value=None)
+    return Change(key=build_upstream_key(upstream), revision=revision, value=None)
 
 
 def build_registry() -> Registry:
@@ -68,8 +76,8 @@
 def test_configuration_version_never_decreases() -> None:
     """A result that is read late must not restore an older configuration."""
     registry = build_registry()
-    newer = Change(key="op/config", revision=5, value=build_configuration(9))
-    older = Change(key="op/config", revision=6, value=build_configuration(7))
+    newer = Change(key=CONFIGURATION_KEY, revision=5, value=build_configuration(9))
+    older = Change(key=CONFIGURATION_KEY, revision=6, value=build_configuration(7))
     registry.apply_changes([newer], revision=5, now=Millis(0))
     registry.apply_changes([older], revision=6, now=Millis(1))
     assert registry.configuration.version == 9
@@ -151,7 +159,9 @@
     if known_revision >= 3:
         transfer_state(source, target, 0)
     zone = Change(
-        key="op/evacuate/zone-a", revision=4, value=ClosedZone(zone=ZoneId("zone-a"))
+        key=build_zone_key(ZoneId("zone-a")),
+        revision=4,
+        value=ClosedZone(zone=ZoneId("zone-a")),
     )
     source.apply_changes([zone, delete(FIRST, 5)], revision=5, now=Millis(0))
     assert transfer_state(source, target, 0)
@@ -162,7 +172,7 @@
 def test_transfer_omits_an_unchanged_configuration() -> None:
     """The configuration is the largest part of the state and rarely changes."""
     source, target = build_registry(), build_registry()
-    change = Change(key="op/config", revision=1, value=build_configuration(7))
+    change = Change(key=CONFIGURATION_KEY, revision=1, value=build_configuration(7))
     source.apply_changes([change], revision=1, now=Millis(0))
     transfer_state(source, target, 0)
     source.apply_changes([put(FIRST, 2)], revision=2, now=Millis(0))
@@ -184,7 +194,9 @@
     """A zone must get calls again even if no watch saw that it was reopened."""
     registry = build_registry()
     closed = Change(
-        key="op/evacuate/zone-a", revision=1, value=ClosedZone(zone=ZoneId("zone-a"))
+        key=build_zone_key(ZoneId("zone-a")),
+        revision=1,
+        value=ClosedZone(zone=ZoneId("zone-a")),
     )
     registry.apply_changes([closed], revision=1, now=Millis(0))
     registry.apply_snapshot([], revision=3, now=Millis(1))
--- a/tests/registry/test_restart.py
+++ b/tests/registry/test_restart.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings, strategies
 
 from skylarkcart.clock import Millis
-from skylarkcart.registry import Change, Registry
+from skylarkcart.registry import CONFIGURATION_KEY, Change, Registry
 from skylarkcart.types import UpstreamId
 from tests.registry.test_registry import (
     FIRST,
@@ -66,7 +66,9 @@
         else:
             self._version += 1
             value = build_configuration(self._version)
-            self.changes.append(Change(key="op/config", revision=revision, value=value))
+            self.changes.append(
+                Change(key=CONFIGURATION_KEY, revision=revision, value=value)
+            )
         self.states[revision] = (self._present, self._version)
 
     def list_items(self) -> list[Change]:
