End an outage of the store when others confirm the state

Cause: one failed call marked the store as unreachable until a later call of the same instance succeeded or a peer brought newer state. An instance that leaves reading to others makes no calls, so that 9.5 s after a cut the next removal still counted as an entry that had lapsed in an outage, and its upstream was kept for 2 s more.

Why it works: an outage ends at the first time after the failed call at which the state is known to have been current, whoever confirmed it, and the grace runs from there. What a peer passes on lapses only where the peer says so; it knows whether the store was available when the entry was removed.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -156,7 +156,7 @@
     async def _handle_failure(self, error: StoreError) -> None:
         core = self._core
         core.metrics.store_calls.labels("failed").inc()
-        core.registry.record_store_outage()
+        core.registry.record_store_outage(core.now)
         if self._is_reachable is not False:
             self._is_reachable = False
             core.log_warning("store_lost", detail=str(error))
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -26,12 +26,9 @@
     build_upstream_key,
     build_zone_key,
 )
+from skylarkcart.registry._outages import LAPSED_ENTRY_GRACE_MS, StoreOutages
 from skylarkcart.types import UpstreamId, ZoneId
 
-# Entries that lapsed during an outage of the store are restored within two seconds of
-# its recovery. An entry that is still missing after that is removed.
-LAPSED_ENTRY_GRACE_MS = 2_000.0
-
 # Removals kept for partial transfers. Instances with an older revision get the whole
 # state.
 MAX_REMOVAL_HISTORY = 512
@@ -59,8 +56,7 @@
         self._removals: dict[ItemKey, int] = {}
         # Removals up to this revision are no longer in the history.
         self._removal_history_start = 0
-        self._store_was_unreachable = False
-        self._store_recovered_at = Millis(float("-inf"))
+        self._outages = StoreOutages()
         self.revision = 0
         self._configuration_revision = 0
         self.configuration: Configuration | None = None
@@ -88,13 +84,14 @@
                 f"the state is known at revision {self.revision}",
             )
             return
+        grace_end = self._outages.get_grace_end(now)
         present = set()
         for change in changes:
             if change.value is not None:
                 present.add(change.key)
-            self._apply_change(change, now)
+            self._apply_change(change, now, grace_end=grace_end)
         for change in self._list_missing(_REMOVABLE_KINDS, present, revision):
-            self._apply_change(change, now)
+            self._apply_change(change, now, grace_end=grace_end)
         self.revision = revision
         self._clear_removals()
 
@@ -102,25 +99,27 @@
         self, changes: Iterable[Change], *, revision: int, now: Millis
     ) -> None:
         """Applies the changes that a watch returned."""
+        grace_end = self._outages.get_grace_end(now)
         for change in changes:
-            self._apply_change(change, now)
+            self._apply_change(change, now, grace_end=grace_end)
         self.revision = max(self.revision, revision)
 
     def adopt(self, published: Published, now: Millis) -> bool:
         """Applies the state of another instance and returns True if it is newer.
 
-        A partial state is applied only if it starts at or before the own revision.
+        A partial state is applied only if it starts at or before the own revision. Of
+        the entries that it doesn't hold, only those lapsed that it lists as such: the
+        sender knows whether the store was unavailable when they were removed.
         """
         if published.revision <= self.revision or published.since > self.revision:
             return False
         for change in self._list_adopted_changes(published):
-            self._apply_change(change, now)
+            self._apply_change(change, now, grace_end=now)
         for lapsed in published.lapsed:
             self._adopt_lapsed_entry(lapsed, now)
         self.revision = published.revision
         if published.since == 0:
             self._clear_removals()
-        self._store_was_unreachable = False
         return True
 
     def _list_adopted_changes(self, published: Published) -> list[Change]:
@@ -181,7 +180,11 @@
         self._lapsed.setdefault(upstream, (registered, Millis(now + left_ms)))
 
     def confirm(self, at: Millis) -> None:
-        """Records that the state was current at a time."""
+        """Records that the state was current at a time.
+
+        The store responded then, to this instance or to the one that confirms it.
+        """
+        self._outages.record_response(at)
         if self.confirmed_at is None or at > self.confirmed_at:
             self.confirmed_at = at
 
@@ -196,15 +199,13 @@
         if published.revision == self.revision and 0 <= age_ms < float("inf"):
             self.confirm(Millis(requested_at - age_ms))
 
-    def record_store_outage(self) -> None:
+    def record_store_outage(self, now: Millis) -> None:
         """Records an outage of the store, during which entries may lapse."""
-        self._store_was_unreachable = True
+        self._outages.record_failure(now)
 
     def record_store_response(self, now: Millis) -> None:
         """Records that the store has responded."""
-        if self._store_was_unreachable:
-            self._store_was_unreachable = False
-            self._store_recovered_at = now
+        self._outages.record_response(now)
 
     def remove_expired(self, now: Millis) -> bool:
         """Drops expired lapsed entries and returns whether there were any."""
@@ -261,13 +262,14 @@
             ),
         )
 
-    def _apply_change(self, change: Change, now: Millis) -> None:
+    def _apply_change(self, change: Change, now: Millis, *, grace_end: Millis) -> None:
+        """Applies a change; an upstream that it removes is kept until ``grace_end``."""
         if change.revision <= self._get_known_revision(change.key):
             return
         if change.value is None:
             self._revisions.pop(change.key, None)
             self._record_removal(change.key, change.revision)
-            self._apply_deletion(change.key, now)
+            self._apply_deletion(change.key, now, grace_end)
             return
         self._revisions[change.key] = change.revision
         self._removals.pop(change.key, None)
@@ -286,12 +288,12 @@
             self.revision, self._revisions.get(key, 0), self._removals.get(key, 0)
         )
 
-    def _apply_deletion(self, key: ItemKey, now: Millis) -> None:
+    def _apply_deletion(self, key: ItemKey, now: Millis, grace_end: Millis) -> None:
         match key.kind:
             case ItemKind.CLOSED_ZONE:
                 self._reopen_zone(ZoneId(key.name))
             case ItemKind.UPSTREAM:
-                self._remove_upstream(UpstreamId(key.name), now)
+                self._remove_upstream(UpstreamId(key.name), now, grace_end)
 
     def _adopt_configuration(self, configuration: Configuration) -> None:
         current = self.configuration
@@ -313,20 +315,18 @@
             detail = f"{entry.state.value} for {entry.service} at {entry.address}"
             self._emit_event("upstream_entry", entry.upstream, detail)
 
-    def _remove_upstream(self, upstream: UpstreamId, now: Millis) -> None:
+    def _remove_upstream(
+        self, upstream: UpstreamId, now: Millis, grace_end: Millis
+    ) -> None:
         known = self._entries.pop(upstream, None)
         if known is None:
             return
-        grace_end = self._store_recovered_at + LAPSED_ENTRY_GRACE_MS
-        if self._store_was_unreachable or now < grace_end:
-            expires_at = Millis(grace_end)
-            if self._store_was_unreachable:
-                expires_at = Millis(now + LAPSED_ENTRY_GRACE_MS)
-            self._lapsed[upstream] = (known, expires_at)
+        if now < grace_end:
+            self._lapsed[upstream] = (known, grace_end)
             self._emit_event(
                 "upstream_lapsed",
                 upstream,
-                f"removed in {expires_at - now:.0f} ms unless restored",
+                f"removed in {grace_end - now:.0f} ms unless restored",
             )
             return
         self._emit_event("upstream_gone", upstream, "entry removed")
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -103,7 +103,7 @@
     """Dropping entries that lapse in an outage would lose upstreams that return."""
     registry = build_registry()
     registry.apply_changes([put(FIRST, 1)], revision=1, now=Millis(0))
-    registry.record_store_outage()
+    registry.record_store_outage(Millis(0))
     registry.record_store_response(Millis(5_000))
     registry.apply_snapshot([], revision=9, now=Millis(5_000))
     assert FIRST in registry.upstreams
@@ -115,7 +115,7 @@
 def test_restored_entry_is_not_removed() -> None:
     registry = build_registry()
     registry.apply_changes([put(FIRST, 1)], revision=1, now=Millis(0))
-    registry.record_store_outage()
+    registry.record_store_outage(Millis(0))
     registry.record_store_response(Millis(100))
     registry.apply_changes([delete(FIRST, 2)], revision=2, now=Millis(100))
     registry.apply_changes([put(FIRST, 3)], revision=3, now=Millis(900))
@@ -128,7 +128,7 @@
     reader, other = build_registry(), build_registry()
     reader.apply_changes([put(FIRST, 1)], revision=1, now=Millis(0))
     assert transfer_state(reader, other, 0)
-    reader.record_store_outage()
+    reader.record_store_outage(Millis(0))
     reader.record_store_response(Millis(1_000))
     reader.apply_changes([delete(FIRST, 2)], revision=2, now=Millis(1_000))
     assert transfer_state(reader, other, 1_200)
@@ -141,7 +141,7 @@
     """An instance that no longer reads must not assume that the outage continues."""
     reader, other = build_registry(), build_registry()
     reader.apply_changes([put(FIRST, 1)], revision=1, now=Millis(0))
-    other.record_store_outage()
+    other.record_store_outage(Millis(0))
     transfer_state(reader, other, 0)
     reader.apply_changes([delete(FIRST, 2)], revision=2, now=Millis(100))
     transfer_state(reader, other, 200)
--- a/tests/registry/test_restart.py
+++ b/tests/registry/test_restart.py
@@ -139,7 +139,7 @@
 def test_lapsed_entry_of_a_peer_is_not_kept_beyond_the_grace(left_ms: float) -> None:
     source, started = build_registry(), build_registry()
     source.apply_changes([put(FIRST, 1), put(SECOND, 2)], revision=2, now=Millis(0))
-    source.record_store_outage()
+    source.record_store_outage(Millis(0))
     source.apply_changes([delete(FIRST, 3)], revision=3, now=Millis(0))
     registered, _ = source._lapsed[FIRST]
     source._lapsed[FIRST] = (registered, Millis(left_ms))
