Divide an account's tokens when instances fall silent

Cause: each instance holds a bucket of the whole burst and deducts what the others report. Cut off parts of the fleet each spent the tokens that were left, and refilled at the whole rate for 1.5 s (4 s with gossip) until their peers counted as unresponsive.

Why it works: silent instances are left their fraction of the tokens that were there when they were last heard, and of the refill since, so that the parts together have what the whole had. They get it back when they are heard again, less what they report. A lost report therefore costs nothing, and silence may be taken for a cut after 500 ms.

--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -158,7 +158,13 @@
             core.log.write("peer_found", peer=instance, zone=zone)
         self._known_peers = known_peers
         core.update_fleet_share()
-        core.quotas.reachable_fraction = core.fleet.get_reachable_fraction(now)
+        reach = core.fleet.get_reach(now)
+        core.quotas.update_reach(
+            reach.fraction,
+            silent=reach.silent,
+            silent_since=reach.silent_since,
+            now=now,
+        )
         core.metrics.peers.set(len(known_peers))
 
 
--- a/src/skylarkcart/quotas/_token_buckets.py
+++ b/src/skylarkcart/quotas/_token_buckets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 import msgspec
 
@@ -32,11 +32,20 @@
 MAX_DEBT_S = 4.0
 
 
+# Levels are recorded once in a round of reports. The history covers the time until an
+# instance that is cut off counts as silent.
+LEVEL_HISTORY_LENGTH = 10
+
+
 class AccountQuota(msgspec.Struct, kw_only=True):
     """The token bucket of one account, as known to this instance.
 
     ``level`` is in requests. ``highest_level`` is the highest one so far: after a start
     the bucket is low because little is known, not because the account spends too much.
+    ``unreachable_level`` is the part of the tokens that is left to the instances whose
+    reports are not received, less what they have spent as far as it is known. What they
+    spend is known only later, so that it has no upper limit. ``recent_levels`` are
+    earlier levels with their times.
     ``spent`` counts the requests that this process admitted since its start. It is
     reported to the other instances, which deduct the increase.
     """
@@ -47,19 +56,56 @@
     level: float
     refilled_at: Millis
     highest_level: float = 0.0
+    unreachable_level: float = 0.0
+    recent_levels: collections.deque[tuple[Millis, float]] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=LEVEL_HISTORY_LENGTH)
+    )
     spent: int = 0
 
     def refill(self, now: Millis, *, reachable_fraction: float) -> None:
         elapsed_s = max(0.0, now - self.refilled_at) / MILLISECONDS_PER_SECOND
-        refilled = elapsed_s * self.rate_per_s * reachable_fraction
-        self.level = min(self.burst, self.level + refilled)
+        refilled = elapsed_s * self.rate_per_s
+        capacity = self.get_capacity(reachable_fraction)
+        if self.level < capacity:
+            self.level = min(capacity, self.level + refilled * reachable_fraction)
+        self.unreachable_level += refilled * (1.0 - reachable_fraction)
         self.highest_level = max(self.highest_level, self.level)
         self.refilled_at = now
 
-    def get_required_level(self, *, is_retry: bool) -> float:
+    def get_capacity(self, reachable_fraction: float) -> float:
+        """Returns the part of the burst of the instances whose reports are received."""
+        return max(1.0, self.burst * reachable_fraction)
+
+    def get_required_level(self, *, is_retry: bool, reachable_fraction: float) -> float:
         """Returns the lowest level at which a request is admitted."""
-        reserve = RESERVED_RATIO * min(self.burst, self.highest_level)
-        return min(1 + reserve if is_retry else 1, self.burst)
+        capacity = self.get_capacity(reachable_fraction)
+        reserve = RESERVED_RATIO * min(capacity, self.highest_level)
+        return min(1 + reserve if is_retry else 1, capacity)
+
+    def record_level(self, now: Millis) -> None:
+        self.recent_levels.append((now, self.level))
+
+    def leave_tokens(self, fraction: float, *, since: Millis) -> None:
+        """Leaves a fraction of the tokens to instances that are not heard any more.
+
+        They may have spent them since ``since``, as this instance may have. The level
+        becomes negative if it has spent more than its own part.
+        """
+        level = next(
+            (level for at, level in reversed(self.recent_levels) if at <= since),
+            self.recent_levels[0][1] if self.recent_levels else self.level,
+        )
+        elapsed_s = max(0.0, self.refilled_at - since) / MILLISECONDS_PER_SECOND
+        shared = min(self.burst, max(0.0, level) + elapsed_s * self.rate_per_s)
+        self.level -= fraction * shared
+        self.unreachable_level += fraction * shared
+
+    def reclaim_tokens(self, fraction: float, *, reachable_fraction: float) -> None:
+        """Takes back what instances that are heard again have left of their tokens."""
+        reclaimed = fraction * self.unreachable_level
+        self.unreachable_level -= reclaimed
+        capacity = self.get_capacity(reachable_fraction)
+        self.level = min(max(capacity, self.level), self.level + reclaimed)
 
     def deduct(self, requests: float) -> None:
         min_level = -MAX_DEBT_S * self.rate_per_s
@@ -70,8 +116,9 @@
     """The token buckets of all accounts.
 
     ``reachable_fraction`` is the fraction of the fleet whose reports are being
-    received. The others may be partitioned and still admit requests, so that the
-    buckets refill only at this fraction of each rate.
+    received. The others may be partitioned and still admit requests, so that each part
+    of the fleet has its fraction of the tokens: of those that were there when it was
+    cut off, and of those that are refilled.
     """
 
     def __init__(self, *, initial_fill_fraction: float = INITIAL_FILL_FRACTION) -> None:
@@ -81,8 +128,36 @@
             collections.deque(maxlen=HISTORY_LENGTH)
         )
         self._reported_totals: dict[tuple[InstanceId, int], dict[AccountId, int]] = {}
+        self._silent: Set[InstanceId] = frozenset()
         self.reachable_fraction = 1.0
 
+    def update_reach(
+        self,
+        fraction: float,
+        *,
+        silent: Set[InstanceId],
+        silent_since: Millis,
+        now: Millis,
+    ) -> None:
+        """Divides the tokens between the instances that are heard and the others.
+
+        ``silent`` are the known instances that are not heard, and ``silent_since`` is
+        the latest time at which one of them was heard.
+        """
+        previous = self.reachable_fraction
+        for quota in self._quotas.values():
+            quota.refill(now, reachable_fraction=previous)
+            if fraction < previous:
+                quota.leave_tokens((previous - fraction) / previous, since=silent_since)
+            elif fraction > previous:
+                quota.reclaim_tokens(
+                    (fraction - previous) / (1.0 - previous),
+                    reachable_fraction=fraction,
+                )
+            quota.record_level(now)
+        self.reachable_fraction = fraction
+        self._silent = silent
+
     def configure(self, accounts: Mapping[AccountId, Account], now: Millis) -> None:
         """Applies the account limits of a configuration version."""
         for account in accounts.values():
@@ -101,6 +176,7 @@
             quota.rate_per_s = account.rate_per_s
             quota.burst = burst
             quota.level = min(quota.level, burst)
+            quota.recent_levels.clear()
         for removed in set(self._quotas) - set(accounts):
             del self._quotas[removed]
 
@@ -116,7 +192,7 @@
         if quota.rate_per_s <= 0:
             return True
         quota.refill(now, reachable_fraction=self.reachable_fraction)
-        if quota.level < quota.get_required_level(is_retry=is_retry):
+        if quota.level < self._get_required_level(quota, is_retry):
             return False
         quota.level -= 1
         quota.spent += 1
@@ -134,9 +210,8 @@
     def estimate_wait_ms(self, account: AccountId, *, is_retry: bool = False) -> float:
         """Returns the time until a request would be admitted if no other one is."""
         quota = self._quotas[account]
-        missing_tokens = max(
-            0.0, quota.get_required_level(is_retry=is_retry) - quota.level
-        )
+        required_level = self._get_required_level(quota, is_retry)
+        missing_tokens = max(0.0, required_level - quota.level)
         rate_per_s = quota.rate_per_s * self.reachable_fraction
         return missing_tokens / rate_per_s * MILLISECONDS_PER_SECOND
 
@@ -163,6 +238,7 @@
     ) -> None:
         """Deducts what another instance has spent since its previous report.
 
+        What it spent while it was silent is deducted from the tokens left to it.
         The first report of a process deducts nothing: its own bucket limited what it
         spent before.
         """
@@ -175,9 +251,18 @@
             )
             known_totals[account] = spent.total
             quota = self._quotas.get(account)
-            if quota is not None and spent.total > previous_total:
-                quota.refill(now, reachable_fraction=self.reachable_fraction)
+            if quota is None or spent.total <= previous_total:
+                continue
+            quota.refill(now, reachable_fraction=self.reachable_fraction)
+            if instance in self._silent:
+                quota.unreachable_level -= spent.total - previous_total
+            else:
                 quota.deduct(spent.total - previous_total)
 
+    def _get_required_level(self, quota: AccountQuota, is_retry: bool) -> float:
+        return quota.get_required_level(
+            is_retry=is_retry, reachable_fraction=self.reachable_fraction
+        )
+
     def remove_process(self, instance: InstanceId, incarnation: int) -> None:
         self._reported_totals.pop((instance, incarnation), None)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -95,7 +95,7 @@
         datagrams = run_round(instances, now)
     assert all(len(fleet.peers) == 79 for fleet in instances)
     assert datagrams <= 80 * 8
-    reachable = [fleet.get_reachable_fraction(Millis(10_000)) for fleet in instances]
+    reachable = [fleet.get_reach(Millis(10_000)).fraction for fleet in instances]
     assert min(reachable) >= 0.95
 
 
@@ -159,8 +159,8 @@
     for now in range(0, 1_200, 200):
         run_round(instances, now)
     assert instances[0].estimated_size == 4
-    assert instances[0].get_reachable_fraction(Millis(1_100)) == 1.0
-    assert instances[0].get_reachable_fraction(Millis(5_000)) == 0.25
+    assert instances[0].get_reach(Millis(1_100)).fraction == 1.0
+    assert instances[0].get_reach(Millis(5_000)).fraction == 0.25
     instances[0].remove_lost_peers(Millis(5_000))
     assert instances[0].estimated_size == 4
 
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -121,9 +121,9 @@
     assert fleet.remove_lost_peers(now) == ()
     assert fleet.estimated_size == size
     if silent_ms > 1_500.0:
-        assert fleet.get_reachable_fraction(now) < 1.0
+        assert fleet.get_reach(now).fraction < 1.0
     fleet.apply_report(build_report("gateway-3", "zone-b", 2, now), now)
-    assert fleet.get_reachable_fraction(now) == 1.0
+    assert fleet.get_reach(now).fraction == 1.0
 
 
 def test_instance_silent_for_long_returns_as_itself() -> None:
