--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -6,6 +6,7 @@
 import json
 
 import msgspec
+import pytest
 
 from skylarkcart.clock import Millis
 from skylarkcart.replicas import Access
@@ -248,6 +249,30 @@
     assert "retry-after" in headers
 
 
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"labels": ' + b"[" * 1_500 + b"]" * 1_500 + b"}",
+        b'{"service":"desk","address":"127.0.0.1:%b","zone":"zone-a","slots":1,'
+        b'"state":"ready","coldLeftMs":0}' % (b"8" * 5_000),
+    ],
+    ids=["nested deep", "port with thousands of digits"],
+)
+async def test_added_route_is_served_beside_an_entry_that_fails_to_decode(
+    deployment, value: bytes
+) -> None:
+    """Such an entry stopped the reading of the store; the route got 404 for good."""
+    await deployment.store.put("servers/odd", value)
+    document = build_configuration(2)
+    added = document["routes"][1] | {"name": "added", "prefix": "/added/"}
+    document["routes"] = [*document["routes"], added]
+    await deployment.store.put("op/config", document)
+    core = deployment.instance._core
+    await deployment.wait_for(lambda: core.table.configuration.version == 2)
+    async with deployment.open_caller() as caller:
+        assert (await caller.send("/added/x", "r1"))[0] == 200
+
+
 async def test_unreadable_store_entries_are_skipped(
     deployment,
 ) -> None:
