Bound the exponent of the backoff before it is applied

What callers would see: in an outage of the store of some 15 minutes, instances report themselves as not ready, though they could serve public routes; recording a failed connection fails after 1,024 in a row to one upstream.

Cause: the delay was 2 ** failures times the initial one, cut to the maximum afterwards. Beyond 2^1023, the product with a float raises OverflowError, which ended the task that reads the store at each failed call.

Why it works: one function bounds the exponent; all delays that double without a limit of their own use it.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from skylarkcart.backoff import compute_backoff_ms
 from skylarkcart.clock import Millis
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.gateway._core import Core
@@ -166,7 +167,9 @@
         max_backoff_ms = max(
             MAX_BACKOFF_MS, MAX_BACKOFF_PER_INSTANCE_MS * core.fleet.estimated_size
         )
-        backoff_ms = min(max_backoff_ms, INITIAL_BACKOFF_MS * 2 ** (self._failures - 1))
+        backoff_ms = compute_backoff_ms(
+            self._failures, initial_ms=INITIAL_BACKOFF_MS, max_ms=max_backoff_ms
+        )
         await asyncio.sleep(backoff_ms * core.random.uniform(0.5, 1.0) / 1000.0)
 
     def _restore_reader_eligibility(self, now: Millis) -> None:
--- a/src/skylarkcart/gateway/_supervision.py
+++ b/src/skylarkcart/gateway/_supervision.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from skylarkcart.backoff import compute_backoff_ms
 from skylarkcart.clock import Millis
 
 # Delay before a restart. It doubles with each further failure.
@@ -31,9 +32,11 @@
             self._failures = 0
         self._failures += 1
         self._failed_at = now
-        # The exponent is bounded because a task may fail for a long time.
-        doublings = min(self._failures - 1, MAX_FAILURES)
-        return min(MAX_RESTART_DELAY_MS, INITIAL_RESTART_DELAY_MS * 2**doublings)
+        return compute_backoff_ms(
+            self._failures,
+            initial_ms=INITIAL_RESTART_DELAY_MS,
+            max_ms=MAX_RESTART_DELAY_MS,
+        )
 
     def is_failing(self, now: Millis) -> bool:
         """Whether the task has failed in each of its latest rounds."""
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from skylarkcart.backoff import compute_backoff_ms
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
 from skylarkcart.published import UpstreamEntry
@@ -187,11 +188,13 @@
 
     def record_connection_reset(self, now: Millis) -> None:
         """Records that it reset a new connection before any call was made."""
-        backoff_ms = INITIAL_CONNECT_BACKOFF_MS * 2**self._consecutive_resets
-        self._connect_backoff_until = Millis(
-            now + min(MAX_CONNECT_BACKOFF_MS, backoff_ms)
-        )
         self._consecutive_resets += 1
+        backoff_ms = compute_backoff_ms(
+            self._consecutive_resets,
+            initial_ms=INITIAL_CONNECT_BACKOFF_MS,
+            max_ms=MAX_CONNECT_BACKOFF_MS,
+        )
+        self._connect_backoff_until = Millis(now + backoff_ms)
         self.record_connection(now)
 
     def record_connection(self, now: Millis) -> None:
@@ -316,5 +319,9 @@
 
     def _start_backoff(self, now: Millis) -> None:
         self._consecutive_failures += 1
-        backoff_ms = INITIAL_BACKOFF_MS * 2 ** (self._consecutive_failures - 1)
-        self._backoff_until = Millis(now + min(MAX_BACKOFF_MS, backoff_ms))
+        backoff_ms = compute_backoff_ms(
+            self._consecutive_failures,
+            initial_ms=INITIAL_BACKOFF_MS,
+            max_ms=MAX_BACKOFF_MS,
+        )
+        self._backoff_until = Millis(now + backoff_ms)
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -4,6 +4,8 @@
 
 import random
 
+import pytest
+
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
 from skylarkcart.published import (
@@ -385,3 +387,18 @@
     assert count_choices(replicas, 5_000) == {"i-2": 100}
     unreachable.record_connection(Millis(5_100))
     assert "i-1" in count_choices(replicas, 40_000)
+
+
+@pytest.mark.parametrize("failures", [1_100, 5_000])
+def test_upstream_that_fails_for_hours_is_still_tried(failures: int) -> None:
+    """The delay before the next attempt was beyond a float after 1,024 failures."""
+    replicas = build_replicas(build_entry(1))
+    replica = replicas.replicas[UpstreamId("i-1")]
+    for number in range(failures):
+        replica.record_connection_failure(Millis(3_000 * number))
+    last_failure_at = 3_000 * (failures - 1)
+    assert not replica.needs_probe(Millis(last_failure_at + 2_900))
+    assert replica.needs_probe(Millis(last_failure_at + 3_000))
+    for _ in range(failures):
+        replica.record_connection_reset(Millis(last_failure_at))
+    assert not replica.is_at_connection_limit(Millis(last_failure_at + 8_000))
