Divide tokens anew only if the reachable part of the fleet changes

Dividing the tokens of 140 accounts takes 0.5 ms a round, five times a second, and in a large fleet the reachable fraction changes a little in each round. Changes below 0.02 are left out, and full buckets are passed over. A lower limit also bounds what is left to instances that are not heard.

--- a/src/skylarkcart/quotas/_token_buckets.py
+++ b/src/skylarkcart/quotas/_token_buckets.py
@@ -31,11 +31,14 @@
 # sends to many instances at once would keep part of its excess.
 MAX_DEBT_S = 4.0
 
-
 # Levels are recorded once in a round of reports. The history covers the time until an
 # instance that is cut off counts as silent.
 LEVEL_HISTORY_LENGTH = 10
 
+# Smaller changes of the reachable fraction are not applied. In a large fleet, there is
+# always some instance that was not heard of for long.
+MIN_REACH_CHANGE = 0.02
+
 
 class AccountQuota(msgspec.Struct, kw_only=True):
     """The token bucket of one account, as known to this instance.
@@ -82,6 +85,14 @@
         reserve = RESERVED_RATIO * min(capacity, self.highest_level)
         return min(1 + reserve if is_retry else 1, capacity)
 
+    def is_full_since_record(self, reachable_fraction: float) -> bool:
+        """Whether the level was full when it was recorded last and still is."""
+        return (
+            bool(self.recent_levels)
+            and self.recent_levels[-1][1] == self.level
+            and self.level >= self.get_capacity(reachable_fraction)
+        )
+
     def record_level(self, now: Millis) -> None:
         self.recent_levels.append((now, self.level))
 
@@ -145,7 +156,11 @@
         the latest time at which one of them was heard.
         """
         previous = self.reachable_fraction
+        if abs(fraction - previous) < MIN_REACH_CHANGE and fraction < 1.0:
+            fraction, silent = previous, self._silent
         for quota in self._quotas.values():
+            if fraction == previous and quota.is_full_since_record(fraction):
+                continue
             quota.refill(now, reachable_fraction=previous)
             if fraction < previous:
                 quota.leave_tokens((previous - fraction) / previous, since=silent_since)
@@ -176,6 +191,7 @@
             quota.rate_per_s = account.rate_per_s
             quota.burst = burst
             quota.level = min(quota.level, burst)
+            quota.unreachable_level = min(quota.unreachable_level, burst)
             quota.recent_levels.clear()
         for removed in set(self._quotas) - set(accounts):
             del self._quotas[removed]
