Log which instances are not heard, and compute it in its own module

A refusal beside a cut showed reachable_part, but no line told when and through whose silence it had changed. reach_changed does, at most twice a second.

--- a/src/skylarkcart/fleet/__init__.py
+++ b/src/skylarkcart/fleet/__init__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from skylarkcart.fleet._fleet import REPORT_INTERVAL_MS, Fleet, OwnState, Peer
+from skylarkcart.fleet._fleet import REPORT_INTERVAL_MS, Fleet, OwnState
+from skylarkcart.fleet._peer import Peer
+from skylarkcart.fleet._reach import Reach
 from skylarkcart.fleet._report import (
     UNKNOWN_RATE,
     Member,
@@ -17,6 +19,7 @@
     "OwnState",
     "Peer",
     "REPORT_INTERVAL_MS",
+    "Reach",
     "Report",
     "UNKNOWN_RATE",
     "decode_report",
--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from skylarkcart.clock import Millis
+from skylarkcart.fleet._peer import Peer
+from skylarkcart.fleet._reach import Reach, compute_reach
 from skylarkcart.fleet._report import UNKNOWN_RATE, Member, Report
 from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
 
@@ -41,13 +43,6 @@
 FULL_MESH_UNRESPONSIVE_AFTER_MS = 1_500.0
 GOSSIP_UNRESPONSIVE_AFTER_MS = 4_000.0
 
-# Instances that can't hear each other spend the same tokens of an account, so that a
-# partition has to be noticed before its instances count as unresponsive. Without news
-# of any instance of a zone for this time, the zone is taken for cut off; in a full
-# mesh, each instance is. With gossip, news of other zones arrive less often.
-SILENT_AFTER_MS = 500.0
-GOSSIP_OTHER_ZONE_SILENT_AFTER_MS = 1_500.0
-
 # An unresponsive instance may be partitioned, so it is assumed to use its share of the
 # budgets until it is removed. A restart under the same name replaces it at once.
 REMOVE_AFTER_MS = 20_000.0
@@ -70,21 +65,6 @@
 MAX_STATE_AGE_MS = 2_200.0
 
 
-class Peer(msgspec.Struct, kw_only=True):
-    """Another instance: its latest self-description and the last direct contact."""
-
-    member: Member
-    reported_at: Millis
-    last_contact_at: Millis
-    known_since: Millis
-    last_sent_at_ms: float = -1.0
-    lacks_stated_state_until: Millis = Millis(float("-inf"))
-
-    @property
-    def version(self) -> tuple[int, int]:
-        return self.member.incarnation, self.member.sequence
-
-
 class OwnState(msgspec.Struct, frozen=True, kw_only=True):
     """What an instance reports about itself."""
 
@@ -98,19 +78,6 @@
     requests_per_s: float = UNKNOWN_RATE
 
 
-class Reach(msgspec.Struct, frozen=True, kw_only=True):
-    """The part of the fleet that an instance hears.
-
-    ``fraction`` counts the instance itself and is relative to the estimated size.
-    ``silent`` are the known instances that are not heard, at least one of which was
-    heard until ``silent_since``.
-    """
-
-    fraction: float
-    silent: frozenset[InstanceId]
-    silent_since: Millis
-
-
 class Fleet:
     """The other instances that this instance knows."""
 
@@ -231,12 +198,16 @@
 
     def get_reach(self, now: Millis) -> Reach:
         """Returns which part of the estimated fleet this instance hears."""
-        silent = self._list_silent_peers(now)
-        heard = 1 + len(self.peers) - len(silent)
-        return Reach(
-            fraction=heard / max(heard, self.estimated_size),
-            silent=frozenset(peer.member.instance for peer in silent),
-            silent_since=max((peer.reported_at for peer in silent), default=now),
+        unresponsive = [
+            peer for peer in self.peers.values() if not self._is_responsive(peer, now)
+        ]
+        return compute_reach(
+            self.peers.values(),
+            unresponsive=unresponsive,
+            zone=self._zone,
+            estimated_size=self.estimated_size,
+            uses_gossip=self.uses_gossip(),
+            now=now,
         )
 
     def get_traffic_fraction(self, requests_per_s: float) -> float:
@@ -453,27 +424,6 @@
         )
         return now - peer.reported_at <= limit_ms
 
-    def _list_silent_peers(self, now: Millis) -> list[Peer]:
-        newest: dict[ZoneId, Millis] = {}
-        for peer in self.peers.values():
-            zone = peer.member.zone
-            newest[zone] = max(peer.reported_at, newest.get(zone, peer.reported_at))
-        return [
-            peer
-            for peer in self.peers.values()
-            if not self._is_responsive(peer, now)
-            or self._is_silent(peer, newest[peer.member.zone], now)
-        ]
-
-    def _is_silent(self, peer: Peer, zone_reported_at: Millis, now: Millis) -> bool:
-        """Whether a peer may be cut off, though it may still count as responsive."""
-        if self._is_full_mesh():
-            return now - peer.reported_at > SILENT_AFTER_MS
-        limit_ms = SILENT_AFTER_MS
-        if peer.member.zone != self._zone:
-            limit_ms = GOSSIP_OTHER_ZONE_SILENT_AFTER_MS
-        return now - zone_reported_at > limit_ms
-
     def _list_responsive_peers(self, now: Millis) -> list[Peer]:
         return [peer for peer in self.peers.values() if self._is_responsive(peer, now)]
 
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -35,6 +35,9 @@
 # arrives from the instances that read the store.
 MAX_TRANSFER_DELAY_S = 0.05
 
+MAX_REACH_LINES_PER_SECOND = 2
+MAX_LISTED_INSTANCES = 5
+
 
 class PeerLink(asyncio.DatagramProtocol):
     """Exchanges reports and usage messages with other instances over UDP."""
@@ -158,14 +161,28 @@
             core.log.write("peer_found", peer=instance, zone=zone)
         self._known_peers = known_peers
         core.update_fleet_share()
-        reach = core.fleet.get_reach(now)
-        core.quotas.update_reach(
+        self._update_reach(now)
+        core.metrics.peers.set(len(known_peers))
+
+    def _update_reach(self, now: Millis) -> None:
+        """Tells the quotas which instances are heard."""
+        quotas = self._core.quotas
+        previous_fraction = quotas.reachable_fraction
+        reach = self._core.fleet.get_reach(now)
+        quotas.update_reach(
             reach.fraction,
             silent=reach.silent,
             silent_since=reach.silent_since,
             now=now,
         )
-        core.metrics.peers.set(len(known_peers))
+        if quotas.reachable_fraction != previous_fraction:
+            self._core.log.write(
+                "reach_changed",
+                limit=MAX_REACH_LINES_PER_SECOND,
+                reachable_part=round(reach.fraction, 2),
+                silent=sorted(reach.silent)[:MAX_LISTED_INSTANCES],
+                silent_count=len(reach.silent),
+            )
 
 
 class StateTransfer:
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 
 import pytest
 
-from skylarkcart.clock import Millis
+from skylarkcart.clock import ManualClock, Millis
 from skylarkcart.fleet import Fleet, Member, OwnState, Report
+from skylarkcart.gateway._peers import PeerLink
 from skylarkcart.types import InstanceId, ZoneId
+from tests.gateway.test_hostile_messages import build_core
 
 
 async def test_call_goes_on_while_its_upstream_is_unregistered(deployment) -> None:
@@ -143,3 +146,21 @@
         own, to_host="10.0.0.2", now=Millis(30_000.0), wants_reply=True
     )
     assert report.sender.instance == "gateway-1"
+
+
+def test_operators_are_told_which_instances_are_not_heard() -> None:
+    """A refusal beside a cut is explained by who was not heard then."""
+    clock = ManualClock(start=Millis(5_000))
+    core = build_core(clock)
+    link = PeerLink(core=core, incarnation=1)
+    for instance in ("gateway-2", "gateway-3"):
+        core.fleet.apply_report(build_report(instance, "zone-a", 1, core.now), core.now)
+    link._update_peers()
+    core.log._lines.clear()
+    clock.advance(700.0)
+    link._update_peers()
+    link._update_peers()
+    lines = [json.loads(line) for line in core.log._lines]
+    (line,) = [line for line in lines if line["event"] == "reach_changed"]
+    assert line["silent"] == ["gateway-2", "gateway-3"]
+    assert line["silent_count"] == 2 and line["reachable_part"] < 0.5
