Soak: evacuations and entries of other writers

Unreadable entries (deep nesting, a port of thousands of digits, integers beyond 64 bits, bytes that are no JSON) and evacuations overlap with its other steps; the ledger checks that no request runs in a zone later than 5 s after its evacuation.

--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -164,6 +164,7 @@
             ledger=self.ledger, rng=self.rng, upstream=name, service=service
         )
         upstream.zone = self.rng.choice(("zone-a", "zone-b"))
+        self.ledger.upstream_zones[name] = upstream.zone
         await upstream.start()
         proxy = Proxy(host="127.0.0.1", target_port=upstream.port)
         await proxy.start()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -134,6 +134,38 @@
     await environment.store.delete(f"servers/{name}")
 
 
+async def write_unreadable_entry(environment: SoakEnvironment) -> None:
+    """Writes an entry that can't be decoded, as any other process may."""
+    key = f"servers/unreadable-{environment.rng.randrange(10**6)}"
+    await environment.store.put(key, environment.rng.choice(UNREADABLE_ENTRIES))
+    await asyncio.sleep(environment.rng.uniform(0.5, 8.0))
+    await environment.store.delete(key)
+
+
+async def evacuate_zone(environment: SoakEnvironment) -> None:
+    """Evacuates an availability zone and takes it back."""
+    zone = environment.rng.choice(("zone-a", "zone-b"))
+    key = f"op/evacuate/{zone}"
+    if key in environment.store.items:
+        return
+    await environment.store.put(key, {})
+    start = time.monotonic()
+    await asyncio.sleep(environment.rng.uniform(1.0, 12.0))
+    environment.ledger.evacuations.append((zone, start, time.monotonic()))
+    await environment.store.delete(key)
+
+
+UNREADABLE_ENTRIES = (
+    b"",
+    b"\xff\x00",
+    b"[" * 1_500,
+    b'{"labels": ' + b"[" * 1_500 + b"]" * 1_500 + b"}",
+    b'{"service": "desk", "address": "127.0.0.1:%b", "zone": "zone-a", "slots": 1, '
+    b'"state": "ready", "coldLeftMs": 0}' % (b"8" * 5_000),
+    b'{"service": "desk", "address": "127.0.0.1:80", "zone": "zone-a", "slots": %d, '
+    b'"state": "ready", "coldLeftMs": 0}' % 2**64,
+)
+
 STEPS: tuple[Step, ...] = (
     kill,
     kill_all,
@@ -153,7 +185,19 @@
 )
 
 
-async def run_seed(seed: int, folder: pathlib.Path) -> SoakResult:
+# Seeds that once found a violation keep the steps that they had.
+ALL_STEPS = (
+    *STEPS,
+    write_unreadable_entry,
+    write_unreadable_entry,
+    evacuate_zone,
+    evacuate_zone,
+)
+
+
+async def run_seed(
+    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = ALL_STEPS
+) -> SoakResult:
     """Runs a seed's steps against an environment of its own."""
     environment = SoakEnvironment(seed=seed, folder=folder)
     steps: list[str] = []
@@ -165,7 +209,7 @@
         async with asyncio.TaskGroup() as group:
             phase_end = time.monotonic() + FAULT_PHASE_S
             while time.monotonic() < phase_end:
-                step = environment.rng.choice(STEPS)
+                step = environment.rng.choice(choices)
                 steps.append(step.__name__)
                 group.create_task(step(environment))
                 await asyncio.sleep(environment.rng.uniform(0.1, 2.0))
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -12,6 +12,9 @@
 # A draining upstream must get no requests later than this, unless the store is faulty.
 MAX_DRAIN_S = 3.0
 
+# An evacuated zone must get no requests later than this, unless the store is faulty.
+MAX_EVACUATION_S = 5.0
+
 # Limit of an account over all instances: the requests that its rate and burst permit in
 # a window, a quarter more, and a fixed number of requests.
 WINDOW_S = 5.0
@@ -53,6 +56,9 @@
         self.revoked_at: dict[str, float] = {}
         self.key_accounts: dict[str, str] = {}
         self.draining_since: dict[str, float] = {}
+        self.upstream_zones: dict[str, str] = {}
+        # The zone, the start and the end of each evacuation.
+        self.evacuations: list[tuple[str, float, float]] = []
         self.store_fault_periods: list[tuple[float, float]] = []
         self.account_limits: dict[str, tuple[float, float]] = {}
 
@@ -131,8 +137,20 @@
                     f"DRAIN {request}: {run.upstream} ran it {delay_s:.1f} s after the "
                     "start of its drain"
                 )
+            violations.extend(self._check_evacuations(request, run))
         return violations
 
+    def _check_evacuations(self, request: str, run: Run) -> list[str]:
+        zone = self.upstream_zones.get(run.upstream)
+        return [
+            f"EVAC {request}: {run.upstream} ran it {run.at - start:.1f} s after the "
+            f"evacuation of {zone}"
+            for evacuated, start, end in self.evacuations
+            if evacuated == zone
+            and start + MAX_EVACUATION_S < run.at < end
+            and self._was_store_healthy(start)
+        ]
+
     def _check_rates(self) -> list[str]:
         violations = []
         for account, (rate, burst) in self.account_limits.items():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,16 +6,18 @@
 
 import pytest
 
-from tests.soak.faults import run_seed
+from tests.soak.faults import ALL_STEPS, STEPS, run_seed
 from tests.soak.ledger import Ledger, Run, SentRequest
 
-SEEDS = (1, 2)
+SEEDS = ((1, STEPS), (2, STEPS), (3, ALL_STEPS))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-async def test_guarantees_hold_under_faults(seed: int, tmp_path: pathlib.Path) -> None:
+@pytest.mark.parametrize(("seed", "choices"), SEEDS)
+async def test_guarantees_hold_under_faults(
+    seed: int, choices: tuple, tmp_path: pathlib.Path
+) -> None:
     """Gateway processes keep the guarantees under single and overlapping faults."""
-    result = await run_seed(seed, tmp_path)
+    result = await run_seed(seed, tmp_path, choices=choices)
     assert result.violations == (), result
     assert result.served > 0
 
@@ -76,6 +78,20 @@
     assert ledger.list_violations()[0].startswith("DRAIN")
 
 
+@pytest.mark.parametrize(
+    ("start", "end", "is_found"),
+    [(4.0, 20.0, True), (6.0, 20.0, False), (1.0, 9.0, False)],
+)
+def test_ledger_finds_calls_to_evacuated_zones(
+    start: float, end: float, is_found: bool
+) -> None:
+    ledger = build_ledger()
+    ledger.upstream_zones["u"] = "zone-a"
+    ledger.evacuations.append(("zone-a", start, end))
+    violations = ledger.list_violations()
+    assert any(line.startswith("EVAC") for line in violations) is is_found
+
+
 def test_ledger_finds_accounts_above_their_rate_limit() -> None:
     ledger = build_ledger()
     ledger.account_limits["museum"] = (1.0, 1.0)
