--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -4,12 +4,9 @@
 
 import asyncio
 import enum
-import os
 import pathlib
 import random
 import signal
-import subprocess
-import sys
 import time
 
 from tests.gateway.standins import (
@@ -20,9 +17,9 @@
     build_configuration,
 )
 from tests.soak.ledger import Ledger, Run, SentRequest
+from tests.soak.processes import GatewayProcesses, Placement
 from tests.soak.proxy import Proxy
 
-SOURCE = pathlib.Path(__file__).parents[2] / "src"
 GATEWAY_COUNT = 4
 CALLER_COUNT = 10
 KEY_ACCOUNTS = {"key-a": "museum", "key-b": "host", "key-c": "host"}
@@ -32,31 +29,9 @@
 CALLER_TIMEOUT_S = 4.0
 STOP_GRACE_S = 6.0
 
-# Memory of the smallest machines of the operators.
-MEMORY_MB = 200
 ENDLESS_CHUNK = b"x" * 65_536
 MAX_COPY_DELAY_S = 0.05
 
-SETTINGS = """
-nodeName = "{name}"
-ip = "{host}"
-zone = "zone-{zone}"
-internalPorts = [7740, 7755]
-seeds = ["{seed}:8360"]
-bootstrap = {bootstrap}
-[zones]
-zone-a = "region"
-zone-b = "region"
-[listenAddrs]
-front = "{host}:8363"
-ready = "{host}:8364"
-control = "{host}:8360"
-[limits]
-memoryMb = {memory_mb}
-[platform]
-address = "127.0.0.1:{store}"
-"""
-
 
 class ResponseFault(enum.Enum):
     """What an upstream does to a part of its responses."""
@@ -135,12 +110,18 @@
         self.proxies: dict[str, Proxy] = {}
         self.version = 1
         self.keys = dict(KEY_ACCOUNTS)
-        self._folder = folder
-        self._hosts = [
-            f"127.{1 + seed // 200 % 200}.{1 + seed % 200}.{number + 1}"
+        placements = [
+            Placement(
+                name=f"gateway-{number}",
+                host=f"127.{1 + seed // 200 % 200}.{1 + seed % 200}.{number + 1}",
+                zone=f"zone-{'ab'[number % 2]}",
+            )
             for number in range(GATEWAY_COUNT)
         ]
-        self._processes: dict[int, subprocess.Popen[bytes]] = {}
+        self._hosts = [placement.host for placement in placements]
+        self._processes = GatewayProcesses(
+            placements=placements, seeds=placements[:1], folder=folder
+        )
         self._replacement_locks = [asyncio.Lock() for _ in range(GATEWAY_COUNT)]
         self._request_count = 0
         self._tasks: list[asyncio.Task[None]] = []
@@ -195,36 +176,12 @@
         await self.store.put("op/config", document)
 
     def start_gateway(self, number: int, *, is_first: bool = False) -> None:
-        host = self._hosts[number]
-        settings = self._folder / f"gateway-{number}.toml"
-        settings.write_text(
-            SETTINGS.format(
-                name=f"gateway-{number}",
-                host=host,
-                zone="ab"[number % 2],
-                seed=self._hosts[0],
-                bootstrap=str(is_first).lower(),
-                store=self.store_proxy.port,
-                memory_mb=MEMORY_MB,
-            )
+        self._processes.start(
+            number, store_port=self.store_proxy.port, is_first=is_first
         )
-        process_environment = {
-            "PATH": os.environ["PATH"],
-            "PYTHONPATH": str(SOURCE),
-            "SKYLARKCART_SETTINGS": str(settings),
-        }
-        with open(self._folder / f"gateway-{number}.log", "ab") as log:
-            self._processes[number] = subprocess.Popen(
-                [sys.executable, "-m", "skylarkcart.gateway.main"],
-                env=process_environment,
-                stdout=log,
-                stderr=log,
-            )
 
     def signal_gateway(self, number: int, signal_number: signal.Signals) -> None:
-        process = self._processes[number]
-        if process.poll() is None:
-            process.send_signal(signal_number)
+        self._processes.send_signal(number, signal_number)
 
     async def replace_gateway(
         self, number: int, signal_number: signal.Signals, *, pause_s: float = 0.0
@@ -235,31 +192,17 @@
         Overlapping replacements of the same gateway run one after the other.
         """
         async with self._replacement_locks[number]:
-            process = self._processes[number]
             self.signal_gateway(number, signal_number)
             deadline = time.monotonic() + STOP_GRACE_S
-            while process.poll() is None:
+            while self._processes.is_running(number):
                 if time.monotonic() > deadline:
-                    process.kill()
+                    self._processes.kill(number)
                 await asyncio.sleep(0.02)
             await asyncio.sleep(pause_s)
             self.start_gateway(number)
 
     def list_memory_violations(self) -> list[str]:
-        """Returns the running gateways that ever exceeded their memory."""
-        violations = []
-        for number, process in self._processes.items():
-            if process.poll() is not None:
-                continue
-            status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-            peak_kb = next(
-                int(line.split()[1])
-                for line in status.splitlines()
-                if line.startswith("VmHWM")
-            )
-            if peak_kb > MEMORY_MB * 1_000:
-                violations.append(f"MEMORY gateway-{number} used {peak_kb} KB")
-        return violations
+        return self._processes.list_memory_violations()
 
     def start_callers(self) -> None:
         loop = asyncio.get_running_loop()
@@ -272,10 +215,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.kill()
-            process.wait()
+        self._processes.kill_all()
         for proxy in (self.store_proxy, *self.proxies.values()):
             await proxy.stop()
         for standin in (self.store, *self.upstreams.values()):
