Log how often a task failed in a row and which configuration is in force

The operators' two logs could not tell an entry that stopped the reading of the store from a store that answered late, nor from a configuration that was not applied.

internal_error of a background task states the failures in a row and the delay of the restart; that of the store's reader has a note with the revision it read after, the time of the call and the age of the state. Lines that end requests state the version of the configuration in force, which is also a gauge; calls to the store have a histogram. The restart policy becomes a module that both tiers may use. No decision changes.

--- a/src/skylarkcart/gateway/_completion.py
+++ b/src/skylarkcart/gateway/_completion.py
@@ -125,5 +125,6 @@
             time_left_ms=self.request.time_left_ms,
             state_revision=core.registry.revision,
             state_age_ms=round(min(1e9, core.registry.get_age_ms(core.now))),
+            configuration_version=core.configuration_version,
             **fields,
         )
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -22,7 +22,6 @@
 from skylarkcart.gateway._pool import UpstreamPool
 from skylarkcart.gateway._preconnect import Preconnector
 from skylarkcart.gateway._receive_limits import ReceiveMemory
-from skylarkcart.gateway._supervision import RestartPolicy
 from skylarkcart.gateway._timing import ElapsedTimeEstimator, ResponseDelayEstimator
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import DrainSchedule, Lifecycle
@@ -31,6 +30,7 @@
 from skylarkcart.registry import Registry, RegistryEvent
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
 from skylarkcart.routing import RouteTable, list_services
+from skylarkcart.supervision import RestartPolicy
 from skylarkcart.types import ServiceId, UpstreamId, ZoneId
 
 # On shutdown, readiness fails first. The load balancer probes once a second and removes
@@ -161,6 +161,11 @@
             return DEFAULT_CALLER_LIMITS
         return self.table.configuration.limits
 
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force, or 0 without one."""
+        return 0 if self.table is None else self.table.configuration.version
+
     @property
     def closes_connections(self) -> bool:
         """Whether responses close their connection, so that callers open a new one.
@@ -494,14 +499,18 @@
             part=part,
             detail=repr(error),
             frames=[f"{frame.name}:{frame.lineno}" for frame in frames],
+            notes=getattr(error, "__notes__", []),
             **fields,
         )
 
     def record_task_error(self, task: str, error: Exception) -> float:
         """Records an error of a background task; returns the delay of its restart."""
-        self.record_error(task, error)
         policy = self._background_tasks.setdefault(task, RestartPolicy())
-        return policy.record_failure(self.now)
+        restart = policy.record_failure(self.now)
+        self.record_error(
+            task, error, failures=restart.failures, restart_in_ms=restart.delay_ms
+        )
+        return restart.delay_ms
 
     def log_warning(self, event: str, **fields: object) -> None:
         self.log.write(event, level=Level.WARNING, **fields)
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -14,9 +14,9 @@
 from skylarkcart.gateway._peers import PeerLink, StateTransfer
 from skylarkcart.gateway._reader import StoreReader
 from skylarkcart.gateway._requests import RequestService
-from skylarkcart.gateway._supervision import supervise
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import DrainSchedule
+from skylarkcart.supervision import supervise
 
 MAINTENANCE_INTERVAL_S = 0.25
 STOP_POLL_INTERVAL_S = 0.05
@@ -186,6 +186,7 @@
         self._update_readiness(core.find_unready_reason(now), now)
         core.metrics.state_age.set(core.registry.get_age_ms(now) / 1000.0)
         core.metrics.state_revision.set(core.registry.revision)
+        core.metrics.configuration_version.set(core.configuration_version)
 
     def _update_readiness(self, reason: str | None, now: Millis) -> None:
         core = self._core
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -69,6 +69,13 @@
             ("result",),
             registry=registry,
         )
+        self.store_call_latency = Histogram(
+            "skylarkcart_gateway_store_call_seconds",
+            "Time of answered calls to the store; a watch waits for changes",
+            ("operation",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
         self.state_age = Gauge(
             "skylarkcart_gateway_state_age_seconds",
             "Age of the confirmation of the published state",
@@ -79,6 +86,11 @@
             "Revision of the published state",
             registry=registry,
         )
+        self.configuration_version = Gauge(
+            "skylarkcart_gateway_configuration_version",
+            "Version of the configuration in force",
+            registry=registry,
+        )
         self.peers = Gauge(
             "skylarkcart_gateway_peers",
             "Other instances that are known",
--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -11,6 +11,8 @@
 from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.platform._store_items import decode_items
 
+MILLISECONDS_PER_SECOND = 1000.0
+
 # The gateway uses all keys of the store.
 ALL_KEYS_PREFIX = ""
 
@@ -107,6 +109,7 @@
             self._restore_reader_eligibility(now)
             await asyncio.sleep(READER_CHECK_INTERVAL_MS / 1000.0)
             return
+        read_revision = core.registry.revision
         try:
             await self._read()
         except HistoryLostError as error:
@@ -115,6 +118,12 @@
             core.metrics.store_calls.labels("history_lost").inc()
         except StoreError as error:
             await self._handle_failure(error)
+        except Exception as error:
+            error.add_note(
+                f"read after revision {read_revision} for {core.now - now:.0f} ms, "
+                f"state {age_ms:.0f} ms old"
+            )
+            raise
         else:
             self._handle_success()
 
@@ -131,7 +140,7 @@
             page = await self._store.read_range(
                 ALL_KEYS_PREFIX, timeout_ms=RESPONSE_TIMEOUT_MS
             )
-            core.registry.record_store_response(core.now)
+            self._record_response("range", started_at)
             changes = decode_items(page.items, on_error=self._log_unreadable)
             core.registry.apply_snapshot(changes, revision=page.revision, now=core.now)
             self._needs_snapshot = False
@@ -143,7 +152,7 @@
                 wait_ms=WATCH_WAIT_MS,
                 timeout_ms=RESPONSE_TIMEOUT_MS,
             )
-            core.registry.record_store_response(core.now)
+            self._record_response("watch", started_at)
             changes = decode_items(page.items, on_error=self._log_unreadable)
             core.registry.apply_changes(changes, revision=page.revision, now=core.now)
             # Without changes, the store responds only after the requested wait.
@@ -154,6 +163,12 @@
             core.apply_published_state()
             await asyncio.sleep(CHANGE_BATCH_MS / 1000.0)
 
+    def _record_response(self, operation: str, started_at: Millis) -> None:
+        core = self._core
+        core.registry.record_store_response(core.now)
+        elapsed_s = (core.now - started_at) / MILLISECONDS_PER_SECOND
+        core.metrics.store_call_latency.labels(operation).observe(elapsed_s)
+
     async def _handle_failure(self, error: StoreError) -> None:
         core = self._core
         core.metrics.store_calls.labels("failed").inc()
--- a/src/skylarkcart/gateway/_supervision.py
+++ b/src/skylarkcart/supervision.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from skylarkcart.backoff import compute_backoff_ms
 from skylarkcart.clock import Millis
 
@@ -19,6 +21,13 @@
 MAX_FAILURES = 5
 
 
+class Restart(msgspec.Struct, frozen=True, kw_only=True):
+    """What follows from a failure: its number in a row, and the delay in ms."""
+
+    failures: int
+    delay_ms: float
+
+
 class RestartPolicy:
     """The failures of one background task, and what follows from them."""
 
@@ -26,17 +35,23 @@
         self._failures = 0
         self._failed_at = Millis(float("-inf"))
 
-    def record_failure(self, now: Millis) -> float:
-        """Records a failure and returns the delay before the restart in ms."""
+    def record_failure(self, now: Millis) -> Restart:
+        """Records a failure and returns when the task is started again.
+
+        >>> policy = RestartPolicy()
+        >>> policy.record_failure(Millis(0))
+        Restart(failures=1, delay_ms=100.0)
+        """
         if now - self._failed_at > HEALTHY_AFTER_MS:
             self._failures = 0
         self._failures += 1
         self._failed_at = now
-        return compute_backoff_ms(
+        delay_ms = compute_backoff_ms(
             self._failures,
             initial_ms=INITIAL_RESTART_DELAY_MS,
             max_ms=MAX_RESTART_DELAY_MS,
         )
+        return Restart(failures=self._failures, delay_ms=delay_ms)
 
     def is_failing(self, now: Millis) -> bool:
         """Whether the task has failed in each of its latest rounds."""
