Give a response of the store time while its bytes arrive

On a link of 10 Mbit/s, the slowest of the operators' machines, one value of 1 MiB takes 1.1 s.

Cause: a call to the store was broken off 900 ms after its start (2,100 ms for a watch), however much had arrived, and then made again for the same content.

Fix: the time counts from the last byte, up to 10 s in all; bytes are bounded as before.

Evidence: test_response_may_take_long_while_its_bytes_arrive failed before (TimeoutError with the body half read); it also checks that a response without end is broken off.

--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import binascii
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -20,6 +21,9 @@
 # A response holds about 1 MB of items; changes of several seconds may take more.
 MAX_RESPONSE_BYTES = 16 * 1_048_576
 
+# A response whose bytes keep arriving may take this time on a slow link.
+MAX_RESPONSE_MS = 10_000.0
+
 
 class StoreError(SkylarkcartError):
     """The store is unreachable, refused the request or sent a malformed response."""
@@ -117,10 +121,19 @@
     async def _get(
         self, path: str, query: dict[str, Any], timeout_ms: float, response_type: type
     ) -> Any:
+        """Sends a request; ``timeout_ms`` is the longest time without a byte."""
         self.request_count += 1
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + max(timeout_ms, MAX_RESPONSE_MS) / 1000.0
         try:
-            async with asyncio.timeout(timeout_ms / 1000.0):
-                status, body = await self._exchange(f"{path}?{urlencode(query)}")
+            async with asyncio.timeout(timeout_ms / 1000.0) as timeout:
+
+                def extend_timeout() -> None:
+                    timeout.reschedule(min(latest, loop.time() + timeout_ms / 1000.0))
+
+                status, body = await self._exchange(
+                    f"{path}?{urlencode(query)}", on_data=extend_timeout
+                )
         except (OSError, TimeoutError) as error:
             self.close()
             raise StoreError(f"request for {path} failed: {error!r}") from error
@@ -136,13 +149,17 @@
             self.close()
             raise StoreError(f"{path} returned a malformed body: {error}") from error
 
-    async def _exchange(self, target: str) -> tuple[int, bytes]:
+    async def _exchange(
+        self, target: str, *, on_data: Callable[[], None]
+    ) -> tuple[int, bytes]:
         if self._protocol is None or self._protocol.is_closed:
             loop = asyncio.get_running_loop()
             _, self._protocol = await loop.create_connection(
                 _StoreProtocol, self._address.host, self._address.port
             )
-        return await self._protocol.get(target, host=str(self._address))
+        return await self._protocol.get(
+            target, host=str(self._address), on_data=on_data
+        )
 
 
 class _StoreProtocol(asyncio.Protocol):
@@ -151,13 +168,18 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._response: asyncio.Future[tuple[int, bytes]] | None = None
+        self._on_data: Callable[[], None] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
         self._received_bytes = 0
         self.is_closed = False
 
-    async def get(self, target: str, *, host: str) -> tuple[int, bytes]:
+    async def get(
+        self, target: str, *, host: str, on_data: Callable[[], None]
+    ) -> tuple[int, bytes]:
+        """Sends a request; ``on_data`` is called while its response arrives."""
         self._response = asyncio.get_running_loop().create_future()
+        self._on_data = on_data
         self._body.clear()
         self._received_bytes = 0
         head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
@@ -180,6 +202,8 @@
 
     def data_received(self, data: bytes) -> None:
         self._received_bytes += len(data)
+        if self._response is not None and not self._response.done():
+            self._on_data()
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self._fail(
                 ResponseTooLargeError(
--- a/tests/gateway/test_store_responses.py
+++ b/tests/gateway/test_store_responses.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from skylarkcart.gateway._reader import ALL_KEYS_PREFIX
-from skylarkcart.platform._store import HistoryLostError, StoreClient
+from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.published import Address
 from tests.gateway.standins import HOST, StoreStandin, build_configuration
 
@@ -40,3 +42,32 @@
         )
     client.close()
     store.stop()
+
+
+class SlowLinkStore(StoreStandin):
+    """Sends each response in parts with a pause between them."""
+
+    PARTS = 6
+    PAUSE_S = 0.06
+
+    async def send(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+        size = len(data) // self.PARTS + 1
+        for start in range(0, len(data), size):
+            writer.write(data[start : start + size])
+            await asyncio.sleep(self.PAUSE_S)
+        return True
+
+
+async def test_response_may_take_long_while_its_bytes_arrive() -> None:
+    """On a slow link, a large response would be broken off and asked for again."""
+    store = SlowLinkStore()
+    await store.start()
+    await store.put("op/config", build_configuration(9))
+    client = StoreClient(address=Address(host=HOST, port=store.port))
+    page = await client.read_range(ALL_KEYS_PREFIX, timeout_ms=150)
+    assert [item.key for item in page.items] == ["op/config"]
+    store.PARTS = 1_000
+    with pytest.raises(StoreError, match="failed"):
+        await client.read_range(ALL_KEYS_PREFIX, timeout_ms=20)
+    client.close()
+    store.stop()
