Hold one page of a full read at a time

Cause: a full read collected the items of all pages before the first one was decoded. It also ended for good at 200 pages, which other writers can fill.

Fix: each page is decoded when it arrives, and the next one asked for after that. A range ends by its keys, which must increase, instead of by a number of pages.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -10,6 +10,7 @@
 from skylarkcart.gateway._core import Core
 from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.platform._store_items import decode_items
+from skylarkcart.registry import Change
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -135,34 +136,49 @@
 
     async def _read(self) -> None:
         core = self._core
-        started_at = core.now
         if self._needs_snapshot or core.registry.revision == 0:
-            page = await self._store.read_range(
-                ALL_KEYS_PREFIX, timeout_ms=RESPONSE_TIMEOUT_MS
-            )
-            self._record_response("range", started_at)
-            changes = decode_items(page.items, on_error=self._log_unreadable)
-            core.registry.apply_snapshot(changes, revision=page.revision, now=core.now)
-            self._needs_snapshot = False
-            confirmed_at = started_at
+            has_changed = await self._read_whole_state()
         else:
-            page = await self._store.watch(
-                ALL_KEYS_PREFIX,
-                after_revision=core.registry.revision,
-                wait_ms=WATCH_WAIT_MS,
-                timeout_ms=RESPONSE_TIMEOUT_MS,
-            )
-            self._record_response("watch", started_at)
-            changes = decode_items(page.items, on_error=self._log_unreadable)
-            core.registry.apply_changes(changes, revision=page.revision, now=core.now)
-            # Without changes, the store responds only after the requested wait.
-            waited_ms = 0.0 if page.items else WATCH_WAIT_MS
-            confirmed_at = Millis(min(core.now, started_at + waited_ms))
-        core.registry.confirm(confirmed_at)
-        if changes:
+            has_changed = await self._watch_changes()
+        if has_changed:
             core.apply_published_state()
             await asyncio.sleep(CHANGE_BATCH_MS / 1000.0)
 
+    async def _read_whole_state(self) -> bool:
+        """Reads all items and returns whether there are any."""
+        core = self._core
+        read_at = started_at = core.now
+        changes: list[Change] = []
+        async for page in self._store.read_pages(
+            ALL_KEYS_PREFIX, timeout_ms=RESPONSE_TIMEOUT_MS
+        ):
+            self._record_response("range", started_at)
+            changes += decode_items(page.items, on_error=self._log_unreadable)
+            revision = page.revision
+            started_at = core.now
+        core.registry.apply_snapshot(changes, revision=revision, now=core.now)
+        self._needs_snapshot = False
+        core.registry.confirm(read_at)
+        return bool(changes)
+
+    async def _watch_changes(self) -> bool:
+        """Waits for changes and returns whether there are any."""
+        core = self._core
+        started_at = core.now
+        page = await self._store.watch(
+            ALL_KEYS_PREFIX,
+            after_revision=core.registry.revision,
+            wait_ms=WATCH_WAIT_MS,
+            timeout_ms=RESPONSE_TIMEOUT_MS,
+        )
+        self._record_response("watch", started_at)
+        changes = decode_items(page.items, on_error=self._log_unreadable)
+        core.registry.apply_changes(changes, revision=page.revision, now=core.now)
+        # Without changes, the store responds only after the requested wait.
+        waited_ms = 0.0 if page.items else WATCH_WAIT_MS
+        core.registry.confirm(Millis(min(core.now, started_at + waited_ms)))
+        return bool(changes)
+
     def _record_response(self, operation: str, started_at: Millis) -> None:
         core = self._core
         core.registry.record_store_response(core.now)
--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 import binascii
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -16,8 +16,6 @@
 from skylarkcart.platform._names import RANGE_PATH, WATCH_PATH
 from skylarkcart.published import Address, StoredItem
 
-MAX_RANGE_PAGES = 200
-
 # A response holds about 1 MB of items; changes of several seconds may take more.
 MAX_RESPONSE_BYTES = 16 * 1_048_576
 
@@ -75,24 +73,32 @@
         self._protocol: _StoreProtocol | None = None
         self.request_count = 0
 
-    async def read_range(self, prefix: str, *, timeout_ms: float) -> StorePage:
-        """Reads all items whose key starts with a prefix.
+    async def read_pages(
+        self, prefix: str, *, timeout_ms: float
+    ) -> AsyncIterator[StorePage]:
+        """Reads all items whose key starts with a prefix, a page at a time.
 
-        The result has the revision of the first page, so that a watch from there also
-        returns the changes made while later pages were read.
+        Each page is requested when the one before has been used, so that the items of
+        one page are held at most. All have the revision of the first one: a watch from
+        there also returns the changes made while later pages were read.
         """
-        items: list[StoredItem] = []
         first_revision: int | None = None
         query: dict[str, Any] = {"prefix": prefix}
-        for _ in range(MAX_RANGE_PAGES):
+        while True:
             page = await self._get(RANGE_PATH, query, timeout_ms, _Range)
-            items.extend(_convert_item(item) for item in page.items)
             if first_revision is None:
                 first_revision = page.as_of
+            last_key = page.items[-1].key if page.items else ""
+            items = tuple(_convert_item(item) for item in page.items)
+            yield StorePage(items=items, revision=first_revision)
             if not page.has_more or not page.items:
-                return StorePage(items=tuple(items), revision=first_revision)
-            query["after"] = page.items[-1].key
-        raise StoreError(f"range of {prefix!r} has more than {MAX_RANGE_PAGES} pages")
+                return
+            if last_key <= query.get("after", ""):
+                raise StoreError(
+                    f"the page after {query['after']!r} ends with {last_key!r}, "
+                    "expected a later key"
+                )
+            query["after"] = last_key
 
     async def watch(
         self, prefix: str, *, after_revision: int, wait_ms: float, timeout_ms: float
--- a/tests/gateway/test_store_responses.py
+++ b/tests/gateway/test_store_responses.py
@@ -8,13 +8,22 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 
 import pytest
 
-from skylarkcart.gateway._reader import ALL_KEYS_PREFIX
-from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
+from skylarkcart.clock import ManualClock
+from skylarkcart.gateway._reader import ALL_KEYS_PREFIX, StoreReader
+from skylarkcart.platform._store import (
+    MAX_RESPONSE_BYTES,
+    HistoryLostError,
+    StoreClient,
+    StoreError,
+)
 from skylarkcart.published import Address
+from tests.gateway.deployment import build_settings
 from tests.gateway.standins import HOST, StoreStandin, build_configuration
+from tests.gateway.test_hostile_messages import build_core
 
 # The largest value that the store holds, and more of them than a response may hold.
 VALUE_BYTES = 1_048_576
@@ -64,10 +73,46 @@
     await store.start()
     await store.put("op/config", build_configuration(9))
     client = StoreClient(address=Address(host=HOST, port=store.port))
-    page = await client.read_range(ALL_KEYS_PREFIX, timeout_ms=150)
-    assert [item.key for item in page.items] == ["op/config"]
+    pages = [page async for page in client.read_pages(ALL_KEYS_PREFIX, timeout_ms=150)]
+    assert [item.key for item in pages[0].items] == ["op/config"]
     store.PARTS = 1_000
     with pytest.raises(StoreError, match="failed"):
-        await client.read_range(ALL_KEYS_PREFIX, timeout_ms=20)
+        await anext(client.read_pages(ALL_KEYS_PREFIX, timeout_ms=20))
+    client.close()
+    store.stop()
+
+
+async def test_full_read_holds_one_page_at_a_time() -> None:
+    """Values of other writers must not exceed the memory of an instance that starts."""
+    store = StoreStandin()
+    await store.start()
+    for number in range(40):
+        await store.put(f"servers/odd-{number}", b"x" * VALUE_BYTES)
+    store.events.clear()
+    core = build_core(ManualClock())
+    core.settings = build_settings(store)
+    reader = StoreReader(core=core)
+    tracemalloc.start()
+    await reader._read()
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert core.registry.revision == store.revision
+    assert peak_bytes < MAX_RESPONSE_BYTES
+    reader._store.close()
+    store.stop()
+
+
+async def test_range_that_never_ends_is_broken_off() -> None:
+    class EndlessStore(StoreStandin):
+        def _build_page(self, after: str) -> dict:
+            return {"items": [self._describe("op/config")], "hasMore": True}
+
+    store = EndlessStore()
+    await store.start()
+    await store.put("op/config", build_configuration(9))
+    client = StoreClient(address=Address(host=HOST, port=store.port))
+    with pytest.raises(StoreError, match="after 'op/config' ends"):
+        async for _ in client.read_pages(ALL_KEYS_PREFIX, timeout_ms=500):
+            pass
     client.close()
     store.stop()
