Let a configuration that can't be put in force keep nothing else back

Cause: published state is put in force behind the step in which the revision advances. An error there ended the task that reads the store or fetches state. The value is not read again, so that the configuration never took effect, and it was put in force again, and failed, before upstreams and closed zones at each later change: no evacuation took effect.

Fix: the error is logged once with the version; the table before it stays, upstreams and zones take effect, and the next configuration is tried. Until then, requests with keys are refused as not run, as the configuration may revoke their keys.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -25,7 +25,7 @@
 from skylarkcart.gateway._timing import ElapsedTimeEstimator, ResponseDelayEstimator
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import DrainSchedule, Lifecycle
-from skylarkcart.published import CallerLimits, Route
+from skylarkcart.published import CallerLimits, Configuration, Route
 from skylarkcart.quotas import INITIAL_FILL_FRACTION, Quotas
 from skylarkcart.registry import Registry, RegistryEvent
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
@@ -129,6 +129,8 @@
             on_rejected=self._record_rejected_response,
         )
         self.table: RouteTable | None = None
+        # The one in the registry; the table's is older if this one has failed.
+        self._latest_configuration: Configuration | None = None
         # Unknown before the first call; an instance that has not needed to call the
         # store is assumed to reach it.
         self.reaches_store = True
@@ -197,21 +199,27 @@
         return self.drain
 
     def has_current_keys(self, now: Millis) -> bool:
-        """Whether published state is recent enough to include key revocations."""
+        """Whether published state is recent enough to include key revocations.
+
+        A configuration that could not be put in force may revoke keys.
+        """
+        if self.table is None or self.table.configuration is not (
+            self.registry.configuration
+        ):
+            return False
         limit_ms = self.settings.bounds.key_revocation_ms - CONFIRMATION_MARGIN_MS
         return self.registry.get_age_ms(now) <= limit_ms
 
     def apply_published_state(self) -> None:
         """Updates all components after a change of the registry."""
-        now = self.now
         configuration = self.registry.configuration
-        current = None if self.table is None else self.table.configuration
-        if configuration is not None and configuration is not current:
-            self.table = RouteTable(configuration=configuration, random=self.random)
-            self._used_services = self.table.list_reachable_services()
-            self.quotas.configure(self.table.accounts, now)
-            self.update_cold_call_rates()
-            self._remove_unused_routes()
+        if configuration is not self._latest_configuration:
+            self._latest_configuration = configuration
+            try:
+                self._put_in_force(configuration)
+            except Exception as error:
+                # Upstreams and closed zones must take effect all the same.
+                self.record_error("configuration", error, version=configuration.version)
         removed = self.replicas.update(
             self.registry.upstreams, frozenset(self.registry.closed_zones)
         )
@@ -221,6 +229,14 @@
         if self.table is not None and self.registry.upstreams:
             self.lifecycle.mark_ready()
 
+    def _put_in_force(self, configuration: Configuration) -> None:
+        table = RouteTable(configuration=configuration, random=self.random)
+        self.quotas.configure(table.accounts, self.now)
+        self.table = table
+        self._used_services = table.list_reachable_services()
+        self.update_cold_call_rates()
+        self._remove_unused_routes()
+
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Removes an upstream whose address now belongs to another one."""
         self.registry.remove_upstream(upstream)
