Keep watching the settings and writing the log after an error

What callers saw: nothing yet; found while looking for tasks that end unseen.

Cause: the task that watches the settings file was not supervised, and an error that its decoder did not foresee ended it without a line: no later change was seen without a signal. The timer of the log started itself again only after a flush without an error; a standard output that was closed for a moment ended it for good, and then all lines.

Fix: an error of a reload is recorded as internal_error with part settings, and the next change is read. The timer is set before the flush, and an error of select counts like one of write.

--- a/src/skylarkcart/gateway/_event_log.py
+++ b/src/skylarkcart/gateway/_event_log.py
@@ -77,12 +77,12 @@
         while self._lines or self._pending:
             if not self._pending:
                 self._pending = self._take_chunk()
-            if not select.select((), (self._output,), (), 0)[1]:
-                return
             try:
+                if not select.select((), (self._output,), (), 0)[1]:
+                    return
                 written = os.write(self._output, self._pending[:PIPE_WRITE_BYTES])
             except OSError:
-                # The reader closed the pipe, and there is nowhere else to report it.
+                # The pipe is closed, and there is nowhere else to report it.
                 self._lines.clear()
                 self._pending = b""
                 return
@@ -90,9 +90,9 @@
 
     def start(self) -> None:
         """Starts periodic flushing."""
-        self.flush()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(FLUSH_INTERVAL_S, self.start)
+        self.flush()
 
     def stop(self) -> None:
         """Stops periodic flushing."""
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -96,6 +96,10 @@
         """Logs invalid settings; the current settings remain in effect."""
         self._core.log_warning("settings_rejected", detail=detail)
 
+    def record_settings_error(self, error: Exception) -> None:
+        """Records an unexpected error; the current settings remain in effect."""
+        self._core.record_error("settings", error)
+
     async def drain_and_stop(self) -> None:
         """Fails readiness, completes running requests and closes connections."""
         core = self._core
--- a/src/skylarkcart/gateway/main.py
+++ b/src/skylarkcart/gateway/main.py
@@ -92,6 +92,10 @@
     except (InvalidValueError, ExceptionGroup) as error:
         instance.log_invalid_settings(str(error))
         return
+    except Exception as error:
+        # The next change of the file is still to be seen.
+        instance.record_settings_error(error)
+        return
     instance.reload(settings)
 
 
