Bound the names in the entry of an upstream

Cause: the zone of an entry had no bound. If four upstreams of one zone don't answer, as entries of another writer would not, the instance's reports name that zone. A zone of 70,000 letters makes a report of 70,073 bytes, which exceeds a datagram (errno 90), so that no report of the instance arrives for as long as the entries exist, and the others take it for silent.

Fix: service and zone have at most 200 letters; the entry names no upstream otherwise.

Evidence: the two new cases of test_entry_harms_only_itself failed before.

--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -29,6 +29,9 @@
 
 # Integers beyond 64 bits can't be passed on to other instances.
 Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+# Reports between instances name zones and must fit into a datagram. Keys of the store
+# have at most as many bytes.
+Name = Annotated[str, msgspec.Meta(max_length=200)]
 Slots = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
 
@@ -89,9 +92,9 @@
 
 
 class _Server(_Document, frozen=True):
-    service: str
+    service: Name
     address: str
-    zone: str
+    zone: Name
     slots: Slots
     state: str
     cold_left_ms: float
--- a/tests/platform/test_entries_of_other_writers.py
+++ b/tests/platform/test_entries_of_other_writers.py
@@ -56,6 +56,8 @@
     "start time beyond 64 bits": encode_entry(born=2**64),
     "unpaired surrogate": add_field("zone", r'"\ud800"'),
     "no UTF-8": encode_entry().replace(b"desk", b"\xff\xfe"),
+    "zone that exceeds a datagram": encode_entry(zone="z" * 70_000),
+    "service that exceeds a key": encode_entry(service="s" * 70_000),
     "empty": b"",
 }
 
