Restart background tasks of entry instances after an error

An entry instance would go on serving with what it knew.

An unforeseen error ended each of them for good and without a line, as their results are only read when the instance stops. An error in one message of a batch dropped the rest.

The version of a value that was passed on outlasts the task, so that a value that ends its watch is not read again and later ones are.

--- a/src/skylarkcart/entry/_metrics.py
+++ b/src/skylarkcart/entry/_metrics.py
@@ -76,6 +76,12 @@
             ("operation", "result"),
             registry=self.registry,
         )
+        self.task_failures = prometheus_client.Counter(
+            "skylarkcart_task_failures",
+            "Errors that ended a background task, which was started again",
+            ("task",),
+            registry=self.registry,
+        )
         self._account_requests = prometheus_client.Counter(
             "skylarkcart_account_requests",
             "Requests by authenticated account and result code",
--- a/src/skylarkcart/entry/_peers.py
+++ b/src/skylarkcart/entry/_peers.py
@@ -21,6 +21,7 @@
 
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.entry import http_server
+from skylarkcart.entry._background_tasks import BackgroundTasks
 from skylarkcart.entry._fleet import PEER_MESSAGE_TYPES, FleetAgent, PeerMessage
 from skylarkcart.entry._logging import log_warning
 from skylarkcart.entry._metrics import Metrics
@@ -58,7 +59,7 @@
         self._metrics = metrics
         self._tasks: set[asyncio.Task[None]] = set()
         self._session: aiohttp.ClientSession | None = None
-        self._tick_task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(clock=clock, metrics=metrics)
         self._batch_received = asyncio.Event()
 
     def build_application(self) -> Application:
@@ -71,10 +72,11 @@
         self._session = aiohttp.ClientSession(
             timeout=timeout, cookie_jar=aiohttp.DummyCookieJar()
         )
-        self._tick_task = asyncio.create_task(self._tick())
+        self._background.start("peers", self._tick)
 
     async def stop(self) -> None:
-        tasks = [task for task in (self._tick_task, *self._tasks) if task is not None]
+        await self._background.stop()
+        tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -175,9 +177,19 @@
         peer_messages: list[PeerMessage] = []
         for message in batch.messages:
             now = self._clock.now()
-            peer_messages.extend(
-                self._fleet.handle(batch.sender, message, now, asked_at=asked_at)
-            )
+            try:
+                peer_messages.extend(
+                    self._fleet.handle(batch.sender, message, now, asked_at=asked_at)
+                )
+            except Exception as error:
+                # The other messages of the batch are still to be handled.
+                self._metrics.task_failures.labels("peer_message").inc()
+                log_warning(
+                    "peer_message_failed",
+                    sender=batch.sender,
+                    message=type(message).__name__,
+                    error=repr(error),
+                )
         self._batch_received.set()
         self._batch_received.clear()
         return peer_messages
--- a/src/skylarkcart/entry/_platform_watcher.py
+++ b/src/skylarkcart/entry/_platform_watcher.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable, Coroutine
 from typing import TypeVar
 
+from skylarkcart.entry._background_tasks import BackgroundTasks
 from skylarkcart.entry._logging import log_warning
 from skylarkcart.entry._state import InstanceState
 from skylarkcart.lifecycle import LifecycleState
@@ -39,19 +41,18 @@
     def __init__(self, *, state: InstanceState, platform: Platform) -> None:
         self._state = state
         self._platform = platform
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._tasks = BackgroundTasks(clock=state.clock, metrics=state.metrics)
+        # The latest version of each key that was passed on. A value that ends its task
+        # must not be read again when the task is restarted.
+        self._versions: dict[str, int] = {}
 
     def start(self) -> None:
-        self._tasks["list"] = asyncio.create_task(self._poll_list())
-        self._tasks["update"] = asyncio.create_task(self._apply_updates())
-        self._tasks[CONFIGURATION_KEY] = asyncio.create_task(
-            self._watch(CONFIGURATION_KEY, self._state.offer_configuration)
-        )
+        self._tasks.start("list", self._poll_list)
+        self._tasks.start("update", self._apply_updates)
+        self._start_watch(CONFIGURATION_KEY, self._state.offer_configuration)
 
     async def stop(self) -> None:
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await self._tasks.stop()
 
     async def _apply_updates(self) -> None:
         while True:
@@ -67,9 +68,10 @@
     def _ensure_index_watch(self, service: ServiceId) -> None:
         key = build_index_key(service)
         if key not in self._tasks:
-            self._tasks[key] = asyncio.create_task(
-                self._watch(key, self._state.offer_snapshot)
-            )
+            self._start_watch(key, self._state.offer_snapshot)
+
+    def _start_watch(self, key: str, on_value: Callable[[bytes], None]) -> None:
+        self._tasks.start(key, functools.partial(self._watch, key, on_value))
 
     def _should_watch(self, key: str) -> bool:
         if self._state.lifecycle.state is LifecycleState.STARTING:
@@ -77,17 +79,20 @@
         return self._state.fleet.is_reader(self._state.now)
 
     async def _watch(self, key: str, on_value: Callable[[bytes], None]) -> None:
-        version = 0
         while True:
             if not self._should_watch(key):
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             published = await self._read(
                 "watch",
-                self._platform.watch(key, after_version=version, wait_ms=WATCH_WAIT_MS),
+                self._platform.watch(
+                    key,
+                    after_version=self._versions.get(key, 0),
+                    wait_ms=WATCH_WAIT_MS,
+                ),
             )
             if published is not None:
-                version = published.version
+                self._versions[key] = published.version
                 on_value(published.value)
                 self._state.update_readiness()
 
--- a/src/skylarkcart/entry/_warm_up_runner.py
+++ b/src/skylarkcart/entry/_warm_up_runner.py
@@ -8,6 +8,7 @@
 from opentelemetry.context import Context
 
 from skylarkcart.clock import Millis
+from skylarkcart.entry._background_tasks import BackgroundTasks
 from skylarkcart.entry._client import UpstreamClient, UpstreamReply
 from skylarkcart.entry._state import InstanceState
 from skylarkcart.entry._tracing import Tracing
@@ -34,16 +35,17 @@
         self._tracing = tracing
         self._call_numbers = itertools.count(1)
         self._calls: set[asyncio.Task[UpstreamReply]] = set()
-        self._tick_task: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(clock=state.clock, metrics=state.metrics)
 
     def start(self) -> None:
-        self._tick_task = asyncio.create_task(self._tick())
+        self._background.start("warm_up", self._tick)
 
     async def stop(self) -> None:
-        tasks = [task for task in (self._tick_task, *self._calls) if task is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._background.stop()
+        calls = list(self._calls)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
 
     async def _tick(self) -> None:
         while True:
