Take deeply nested answers for malformed ones in entry instances

Cause: an upstream's answer with JSON nested about 1,000 deep in a field that is skipped raised RecursionError. In a search it left the callback of the call, so that the search waited for its deadline; in a filing it ended the request without a verdict. A version of 5,000 digits raised ValueError in the task that watches the platform.

Fix: all decoders of the entry instances treat DECODING_ERRORS alike, as the gateway's do, and a version is a number of at most 18 ASCII digits.

--- a/src/skylarkcart/config/_encoding.py
+++ b/src/skylarkcart/config/_encoding.py
@@ -22,7 +22,7 @@
     ServiceRow,
     ZoneRow,
 )
-from skylarkcart.errors import InvalidValueError
+from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.types import AccountId, KeyId, PlatformLossPolicy
 
 # The platform stores no larger value.
@@ -88,7 +88,7 @@
         )
     try:
         configuration = _decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         # The value contains salted hashes, so the message shows only its first bytes.
         raise _invalid_configuration(value[:20], str(error)) from error
     check_configuration(configuration)
--- a/src/skylarkcart/entry/_callers.py
+++ b/src/skylarkcart/entry/_callers.py
@@ -33,7 +33,7 @@
     CallerFilingResponse,
     CallerSearchRequest,
 )
-from skylarkcart.errors import RequestRefusedError
+from skylarkcart.errors import DECODING_ERRORS, RequestRefusedError
 from skylarkcart.filings import FilingExecution
 from skylarkcart.keys import Authenticated
 from skylarkcart.search import SearchAnswer, SearchExecution, SearchRequest
@@ -317,7 +317,7 @@
 def _decode(body: bytes, body_type: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         raise _build_refusal("bad_request", str(error), 400) from error
 
 
--- a/src/skylarkcart/entry/_client.py
+++ b/src/skylarkcart/entry/_client.py
@@ -31,6 +31,7 @@
     REQUEST_ID_HEADER,
     UpstreamRefusalResponse,
 )
+from skylarkcart.errors import DECODING_ERRORS
 from skylarkcart.types import AccountId, ProcessId, RequestId
 from skylarkcart.upstreams import CallOutcome, OutcomeKind
 from skylarkcart.verdict import RunVerdict
@@ -266,5 +267,5 @@
 def _read_refusal(body: bytes) -> UpstreamRefusalResponse:
     try:
         return msgspec.json.decode(body, type=UpstreamRefusalResponse)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         return UpstreamRefusalResponse(reason="refused")
--- a/src/skylarkcart/entry/_filings.py
+++ b/src/skylarkcart/entry/_filings.py
@@ -21,6 +21,7 @@
     UpstreamFilingRequest,
     UpstreamFilingResponse,
 )
+from skylarkcart.errors import DECODING_ERRORS
 from skylarkcart.filings import (
     AttemptAnswered,
     AttemptFailed,
@@ -142,7 +143,7 @@
         return AttemptFailed(attempt=attempt, reason=reply.reason)
     try:
         receipt = msgspec.json.decode(reply.body, type=UpstreamFilingResponse)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         return AttemptFailed(attempt=attempt, reason="malformed_answer")
     return AttemptAnswered(
         attempt=attempt, request_id=receipt.request_id, receipt=receipt.receipt
--- a/src/skylarkcart/entry/_peers.py
+++ b/src/skylarkcart/entry/_peers.py
@@ -25,6 +25,7 @@
 from skylarkcart.entry._fleet import PEER_MESSAGE_TYPES, FleetAgent, PeerMessage
 from skylarkcart.entry._logging import log_warning
 from skylarkcart.entry._metrics import Metrics
+from skylarkcart.errors import DECODING_ERRORS
 from skylarkcart.membership import MemberHeartbeat
 from skylarkcart.types import InstanceId
 
@@ -211,7 +212,7 @@
         self._metrics.peer_bytes.labels("received").inc(len(body))
         try:
             batch = _get_decoder().decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             log_warning("peer_batch_rejected", reason=str(error))
             return None
         # The first batch to a seed address has no recipient: its instance id is not
--- a/src/skylarkcart/entry/_settings.py
+++ b/src/skylarkcart/entry/_settings.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from skylarkcart.errors import InvalidValueError
+from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.types import InstanceId, ZoneId
 
 MIN_SECRET_CHARACTERS = 32
@@ -87,7 +87,7 @@
         ) from error
     try:
         settings = msgspec.toml.decode(data, type=Settings)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise InvalidValueError(
             where=str(path),
             value=_build_excerpt(data),
--- a/src/skylarkcart/entry/_upstream_calls.py
+++ b/src/skylarkcart/entry/_upstream_calls.py
@@ -15,6 +15,7 @@
 from skylarkcart.entry._state import InstanceState
 from skylarkcart.entry._tracing import Tracing, inject_context
 from skylarkcart.entry._wire import UpstreamSearchRequest, UpstreamSearchResponse
+from skylarkcart.errors import DECODING_ERRORS
 from skylarkcart.search import (
     CallAnswered,
     CallFailed,
@@ -156,7 +157,7 @@
 def _decode_hits(call: CallId, body: bytes) -> CallAnswered | CallFailed:
     try:
         hits = msgspec.json.decode(body, type=UpstreamSearchResponse)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         return CallFailed(call=call, reason="malformed_answer")
     return CallAnswered(
         call=call,
--- a/src/skylarkcart/platform/_http.py
+++ b/src/skylarkcart/platform/_http.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from urllib.parse import quote
 
 import aiohttp
 import msgspec
 
 from skylarkcart.declarations import InstanceList
+from skylarkcart.errors import DECODING_ERRORS
 from skylarkcart.platform._interface import PlatformError, PublishedValue
 
 VERSION_HEADER = "X-Version"
+# A version fits into 64 bits.
+_VERSION = re.compile("[0-9]{1,18}")
 READ_TIMEOUT_S = 2.0
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -46,7 +50,7 @@
             raise PlatformError(f"/v1/instances returned status {status}, expected 200")
         try:
             return msgspec.json.decode(body, type=InstanceList)
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             raise PlatformError(
                 f"/v1/instances returned a malformed body: {error}"
             ) from error
@@ -55,7 +59,7 @@
         status, version, body = await self._get(path, wait_s=wait_s)
         if status in (204, 404):
             return None
-        if status != 200 or not version.isdecimal():
+        if status != 200 or not _VERSION.fullmatch(version):
             raise PlatformError(
                 f"{path} returned status {status} with version {version!r}, "
                 "expected status 200 with a decimal version"
--- a/src/skylarkcart/snapshots/_agent.py
+++ b/src/skylarkcart/snapshots/_agent.py
@@ -14,6 +14,7 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.declarations import IndexSnapshot
+from skylarkcart.errors import DECODING_ERRORS
 from skylarkcart.snapshots._messages import (
     OutgoingMessage,
     ServiceSequence,
@@ -139,6 +140,6 @@
         return None
     try:
         return msgspec.json.decode(value, type=IndexSnapshot)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         logging.error("event=snapshot_rejected detail=%r", str(error))
         return None
