--- a/tests/incidents/run.py
+++ b/tests/incidents/run.py
@@ -16,6 +16,7 @@
 from tests.incidents.scenario import (
     NESTED_FIELD,
     PORT_WITH_THOUSANDS_OF_DIGITS,
+    VALUE_BYTES,
     Outcome,
     play,
 )
@@ -24,6 +25,7 @@
 ENTRIES = {
     "port": [PORT_WITH_THOUSANDS_OF_DIGITS],
     "nested": [NESTED_FIELD],
+    "large": [b"x" * VALUE_BYTES] * 13,
     "none": [],
 }
 
--- a/tests/incidents/scenario.py
+++ b/tests/incidents/scenario.py
@@ -41,6 +41,9 @@
 BURST_DELAYS_S = (0.05, 0.5, CONFIG_APPLY_S + 0.2, CONFIG_APPLY_S + 1.2)
 REQUESTS_PER_BURST = 4
 
+# The largest value that the store holds.
+VALUE_BYTES = 1_048_576
+
 DIGITS = b"9" * 5_000
 NESTING = 1_500
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -142,6 +142,16 @@
     await environment.store.delete(key)
 
 
+async def write_large_entries(environment: SoakEnvironment) -> None:
+    """Writes more values at once than one response of the store may hold."""
+    keys = [f"servers/large-{environment.rng.randrange(10**6)}" for _ in range(13)]
+    for key in dict.fromkeys(keys):
+        await environment.store.put(key, b"x" * LARGE_VALUE_BYTES)
+    await asyncio.sleep(environment.rng.uniform(0.5, 8.0))
+    for key in dict.fromkeys(keys):
+        await environment.store.delete(key)
+
+
 async def evacuate_zone(environment: SoakEnvironment) -> None:
     """Evacuates an availability zone and takes it back."""
     zone = environment.rng.choice(("zone-a", "zone-b"))
@@ -155,6 +165,9 @@
     await environment.store.delete(key)
 
 
+# The largest value that the store holds.
+LARGE_VALUE_BYTES = 1_048_576
+
 UNREADABLE_ENTRIES = (
     b"",
     b"\xff\x00",
@@ -193,10 +206,11 @@
     evacuate_zone,
     evacuate_zone,
 )
+LATEST_STEPS = (*ALL_STEPS, write_large_entries)
 
 
 async def run_seed(
-    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = ALL_STEPS
+    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = LATEST_STEPS
 ) -> SoakResult:
     """Runs a seed's steps against an environment of its own."""
     environment = SoakEnvironment(seed=seed, folder=folder)
