Heed upstreams that say that they leave or want no requests

Change: a response, also a late one that belongs to no request, marks its process as leaving. It then counts as unusable, as if its entry said so, for as long as no other process is known to have its name: another start time, or an entry that was gone if start times are unknown. Requests that only paused upstreams could serve are refused at once as not run, with the time until the first pauses end. Calls that wait for a connection to such an upstream end as not run and move; connections of replaced processes are not used again. The decisions are in replicas/, the headers in platform/.

Peers are not told: each instance learns it from the first answer that it gets, within the bound, and a report of a leave would have to outlast its process.

--- a/src/skylarkcart/exchange.py
+++ b/src/skylarkcart/exchange.py
@@ -44,6 +44,10 @@
     ``has_content_encoding`` is true if the body has a content encoding, such as gzip.
     ``idle_timeout_s`` is how long the upstream keeps an idle connection open, or None
     if it is not stated.
+    ``is_leaving`` is true if the upstream's process states that it is leaving.
+    ``pause_ms`` is the time for which an upstream that refused the request wants no
+    further ones from this instance, or None. ``has_invalid_pause`` is true if it
+    states one that can't be read.
     ``headers`` are unchanged.
     """
 
@@ -55,9 +59,22 @@
     has_content_encoding: bool
     load: ReportedLoad | None
     idle_timeout_s: float | None
+    is_leaving: bool
+    pause_ms: float | None
+    has_invalid_pause: bool
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
+    @property
+    def speaks_of_upstream(self) -> bool:
+        """Whether it says that the upstream is leaving or wants no calls for a time.
+
+        The response of another upstream, which now has the address, does not.
+        """
+        if self.is_misdirected:
+            return False
+        return self.is_leaving or self.pause_ms is not None or self.has_invalid_pause
+
     @property
     def is_success(self) -> bool:
         """Whether this is a signed, unencoded 2xx response, passed on unchanged."""
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import random
 import traceback
+from collections.abc import Sequence
 
 from skylarkcart.budgets import (
     ExtraCallBudget,
@@ -16,6 +19,7 @@
     UsageView,
 )
 from skylarkcart.clock import Clock, Millis
+from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.fleet import UNKNOWN_RATE, Fleet
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
@@ -127,6 +131,7 @@
             on_connected=self._record_connected,
             memory=ReceiveMemory(memory_mb=settings.memory_mb),
             on_rejected=self._record_rejected_response,
+            on_notice=self._handle_notice,
         )
         self.table: RouteTable | None = None
         # The one in the registry; the table's is older if this one has failed.
@@ -347,6 +352,20 @@
         reachable = sum(self.replicas.is_reachable(shard, now) for shard in shards)
         return reachable >= route.gathering.min_coverage * len(shards)
 
+    def get_pause_end(
+        self, services: Sequence[ServiceId], *, min_coverage: float, now: Millis
+    ) -> Millis | None:
+        """Returns when enough services have an upstream that accepts calls.
+
+        Returns None if they have one now, or if too few have any upstream.
+        """
+        times = [self.replicas.get_available_at(service, now) for service in services]
+        known = sorted(time for time in times if time is not None)
+        needed = max(1, math.ceil(min_coverage * len(services)))
+        if len(known) < needed or known[needed - 1] <= now:
+            return None
+        return known[needed - 1]
+
     def update_cold_call_rates(self) -> None:
         """Divides the call rate of cold upstreams among the instances of the fleet."""
         if self.table is None:
@@ -469,6 +488,27 @@
         self.metrics.rejected_responses.labels(reason).inc()
         self.log_warning("response_rejected", upstream=upstream, reason=reason)
 
+    def _handle_notice(self, replica: Replica, response: UpstreamResponse) -> None:
+        """Applies what an upstream's response says about the upstream.
+
+        The calls that wait for it move when the parser that called this has returned.
+        """
+        upstream = replica.entry.upstream
+        loop = asyncio.get_running_loop()
+        if response.is_leaving and self.replicas.record_leaving(replica):
+            self.metrics.upstream_notices.labels("leaving").inc()
+            self.log.write("upstream_leaving", upstream=upstream)
+            loop.call_soon(self.apply_published_state)
+        if response.has_invalid_pause:
+            self.metrics.upstream_notices.labels("invalid_pause").inc()
+        if response.pause_ms is not None:
+            self.metrics.upstream_notices.labels("pause").inc()
+            self.replicas.record_pause(replica, response.pause_ms, self.now)
+            self.log.write(
+                "upstream_paused", upstream=upstream, pause_ms=response.pause_ms
+            )
+            loop.call_soon(self.pool.release_waiting, upstream)
+
     def _record_connected(self, replica: Replica, duration_ms: float) -> None:
         replica.record_connection(self.now)
         self.replicas.record_connect_time(
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -81,6 +81,8 @@
             )
             return
         now = self._core.now
+        if self._refuse_while_paused(now):
+            return
         for part in self._execution.parts.values():
             self._core.get_extra_calls(part.shard).record_request(now)
             if not self._call(part):
@@ -89,6 +91,23 @@
         if not self._advance():
             self._schedule_timer(now)
 
+    def _refuse_while_paused(self, now: Millis) -> bool:
+        """Refuses the request if too many shards have only paused upstreams."""
+        gathering = self._route.gathering
+        pause_end = self._core.get_pause_end(
+            gathering.shards, min_coverage=gathering.min_coverage, now=now
+        )
+        if pause_end is None:
+            return False
+        self._completion.send_error(
+            STATUS_UNAVAILABLE,
+            "upstreams_paused",
+            verdict=RunVerdict.NOT_RUN,
+            retry_after_ms=pause_end - now,
+            shards=len(gathering.shards),
+        )
+        return True
+
     def abandon(self) -> None:
         """Ends all calls after the caller has disconnected."""
         self._stop()
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -107,6 +107,12 @@
             registry=registry,
         )
 
+        self.upstream_notices = Counter(
+            "skylarkcart_gateway_upstream_notices",
+            "What responses of upstreams say about the upstreams themselves",
+            ("notice",),
+            registry=registry,
+        )
         self.rejected_responses = Counter(
             "skylarkcart_gateway_rejected_responses",
             "Responses of upstreams that exceeded a limit",
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import functools
 import itertools
 from collections.abc import Callable
 
@@ -120,8 +121,10 @@
         on_connected: Callable[[Replica, float], None],
         memory: ReceiveMemory,
         on_rejected: Callable[[UpstreamId, str], None],
+        on_notice: Callable[[Replica, UpstreamResponse], None],
     ) -> None:
         self._clock = clock
+        self._on_notice = on_notice
         self._memory = memory
         self._on_rejected = on_rejected
         self._on_connected = on_connected
@@ -227,14 +230,35 @@
             self._open(replica, connections)
 
     def drop(self, upstream: UpstreamId) -> None:
-        """Closes the idle connections of an upstream that receives no more calls."""
+        """Ends the use of an upstream that receives no more calls.
+
+        Calls that wait for a connection to it end as not run, and its idle connections
+        are closed. Calls that were sent go on.
+        """
         connections = self._connections.get(upstream)
         if connections is None:
             return
         while connections.idle:
             connections.idle.pop().connection.close()
+        self.release_waiting(upstream)
         if connections.total == 0 and not connections.waiting:
-            del self._connections[upstream]
+            self._connections.pop(upstream, None)
+
+    def release_waiting(self, upstream: UpstreamId) -> None:
+        """Ends, as not run, the calls that wait for an upstream that accepts none."""
+        connections = self._connections.get(upstream)
+        if connections is None:
+            return
+        now = self._clock.now()
+        released = [
+            call for call in connections.waiting if not call.replica.accepts_calls(now)
+        ]
+        result = CallResult(end=CallEnd.REFUSED_CONNECTION, verdict=RunVerdict.NOT_RUN)
+        for call in released:
+            # The end of one call may have abandoned another one.
+            if not call.is_ended:
+                connections.waiting.remove(call)
+                self._finish_call(call, result)
 
     def close_idle(self, now: Millis) -> None:
         """Closes connections that the upstream may be about to close."""
@@ -292,6 +316,7 @@
                         on_connection_lost=self._handle_connection_lost,
                         memory=self._memory,
                         on_rejected=self._handle_rejection,
+                        on_notice=functools.partial(self._on_notice, replica),
                     ),
                     address.host,
                     address.port,
@@ -328,12 +353,18 @@
         connections: _UpstreamConnections,
         connection: UpstreamConnection,
     ) -> None:
-        if connections.waiting:
+        now = self._clock.now()
+        if replica.is_retired:
+            # Closed after the parser returns, as this may run in its callback.
+            asyncio.get_running_loop().call_soon(connection.close)
+            if connections.waiting:
+                # They wait for a connection to the process that has replaced it.
+                self._open_if_needed(connections.waiting[0].replica, connections)
+            return
+        if connections.waiting and replica.accepts_calls(now):
             self._send(connections, connection, connections.waiting.popleft())
             return
-        idle = _IdleConnection(
-            connection=connection, replica=replica, since=self._clock.now()
-        )
+        idle = _IdleConnection(connection=connection, replica=replica, since=now)
         connections.idle.append(idle)
 
     def _send(
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -179,11 +179,16 @@
 
     def _refuse_not_run(self, reason: str) -> None:
         self._stop()
+        now = self._core.now
+        retry_after_ms = self._core.get_retry_after_ms(now)
+        pause_end = self._core.get_pause_end([self._service], min_coverage=1.0, now=now)
+        if pause_end is not None:
+            reason, retry_after_ms = "upstreams_paused", pause_end - now
         self._completion.send_error(
             STATUS_UNAVAILABLE,
             reason,
             verdict=RunVerdict.NOT_RUN,
-            retry_after_ms=self._core.get_retry_after_ms(self._core.now),
+            retry_after_ms=retry_after_ms,
             service=self._service,
             ends=self._call_ends,
         )
--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -17,6 +17,7 @@
 ResponseHandler = Callable[["UpstreamConnection", UpstreamResponse], None]
 ConnectionLostHandler = Callable[["UpstreamConnection"], None]
 RejectionHandler = Callable[["UpstreamConnection", str], None]
+NoticeHandler = Callable[[UpstreamResponse], None]
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -26,7 +27,8 @@
     upstream has sent ids before, since it may be a late copy of an earlier response.
     Data that arrives without a pending call, or behind the response to one, belongs to
     no request and makes the connection unusable. ``on_rejected`` gets the reason when
-    data exceeds a limit; the connection is then closed.
+    data exceeds a limit; the connection is then closed. ``on_notice`` gets each
+    complete response in which the upstream speaks of itself, also one that is dropped.
     """
 
     def __init__(
@@ -36,10 +38,12 @@
         on_response: ResponseHandler,
         on_connection_lost: ConnectionLostHandler,
         on_rejected: RejectionHandler,
+        on_notice: NoticeHandler,
     ) -> None:
         self._on_response = on_response
         self._on_connection_lost = on_connection_lost
         self._on_rejected = on_rejected
+        self._on_notice = on_notice
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._meter = ResponseMeter(memory=memory)
@@ -147,6 +151,8 @@
             return
         response = decode_response(status, self._headers, b"".join(self._body))
         self._meter.release()
+        if response.speaks_of_upstream:
+            self._on_notice(response)
         if response.request_id is None and self._has_sent_ids:
             self.is_reusable = False
             return
--- a/src/skylarkcart/platform/_messages.py
+++ b/src/skylarkcart/platform/_messages.py
@@ -15,7 +15,11 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 CRLF = b"\r\n"
+MILLISECONDS_PER_SECOND = 1000.0
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+# Value of the header by which an upstream says that it is leaving.
+IS_LEAVING = b"1"
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
@@ -52,7 +56,7 @@
     (names.TIME_LEFT, names.API_KEY, names.ACCOUNT, names.EXPECTED_UPSTREAM)
 )
 _INTERNAL_RESPONSE_HEADERS = frozenset(
-    (names.LOAD, names.NOT_RUN, names.RESPONDING_UPSTREAM)
+    (names.LOAD, names.NOT_RUN, names.RESPONDING_UPSTREAM, names.LEAVING)
 )
 
 
@@ -119,6 +123,10 @@
     fields: dict[bytes, bytes] = {}
     for name, value in headers:
         fields.setdefault(name.lower(), value)
+    retry_after = (
+        fields.get(names.RETRY_AFTER) if status == STATUS_UNAVAILABLE else None
+    )
+    pause_ms = _parse_pause_ms(retry_after)
     return UpstreamResponse(
         status=status,
         request_id=fields.get(names.REQUEST_ID),
@@ -128,6 +136,9 @@
         has_content_encoding=b"content-encoding" in fields,
         load=_parse_load(fields.get(names.LOAD)),
         idle_timeout_s=_parse_idle_timeout(fields.get(b"keep-alive")),
+        is_leaving=fields.get(names.LEAVING) == IS_LEAVING,
+        pause_ms=pause_ms,
+        has_invalid_pause=retry_after is not None and pause_ms is None,
         headers=tuple(headers),
         body=body,
     )
@@ -255,6 +266,20 @@
     return ReportedLoad(running=running, waiting=waiting, slots=max(1, slots))
 
 
+def _parse_pause_ms(value: bytes | None) -> float | None:
+    """Returns the time in milliseconds, or None without a valid one.
+
+    >>> _parse_pause_ms(b"1.5")
+    1500.0
+    """
+    try:
+        pause_ms = float(value or b"") * MILLISECONDS_PER_SECOND
+    except ValueError:
+        return None
+    # Also False for NaN.
+    return pause_ms if 0 <= pause_ms < float("inf") else None
+
+
 @functools.lru_cache(maxsize=64)
 def _parse_idle_timeout(value: bytes | None) -> float | None:
     for option in (value or b"").split(b","):
--- a/src/skylarkcart/platform/_names.py
+++ b/src/skylarkcart/platform/_names.py
@@ -17,6 +17,10 @@
 NOT_RUN = b"not-executed"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 LOAD = b"server-load"
+# Present in all responses of an upstream that is leaving.
+LEAVING = b"server-leaving"
+# With status 503: seconds for which the upstream wants no requests from this sender.
+RETRY_AFTER = b"retry-after"
 PART_SIGNATURES = b"part-stamps"
 MISSING_PARTS = b"missing-parts"
 # Id of the upstream that sent the response.
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -99,6 +99,10 @@
         zone_reachability: ZoneReachability | None = None,
     ) -> None:
         self.entry = entry
+        # No further call may be sent to it.
+        self.is_retired = False
+        # The upstream has asked for no calls until then.
+        self.paused_until = Millis(float("-inf"))
         self._zone_reachability = zone_reachability or ZoneReachability()
         self.seen_at = seen_at
         self.in_flight: dict[int, tuple[Millis, float]] = {}
@@ -160,6 +164,10 @@
         else:
             self._record_failure(end, now)
 
+    def accepts_calls(self, now: Millis) -> bool:
+        """Whether a call may be sent to it, or wait for a connection to it."""
+        return not self.is_retired and now >= self.paused_until
+
     def is_backed_off(self, now: Millis) -> bool:
         """Whether it is in backoff after a failure, or is unreachable."""
         return now < self._backoff_until or self.is_unreachable(now)
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -9,6 +9,7 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.published import RegisteredUpstream, UpstreamState
+from skylarkcart.replicas._notices import UpstreamNotices
 from skylarkcart.replicas._replica import Replica, SlowSample
 from skylarkcart.replicas._zone_reach import ZoneReachability
 from skylarkcart.types import ServiceId, SlowCall, UpstreamId, ZoneId
@@ -60,6 +61,7 @@
         self._random = random
         self._by_service: dict[ServiceId, dict[UpstreamId, Replica]] = {}
         self.replicas: dict[UpstreamId, Replica] = {}
+        self._notices = UpstreamNotices()
         # Calls per second that this instance may make to each cold upstream of a
         # service. Services without an entry have no such limit.
         self.cold_calls_per_s: dict[ServiceId, float] = {}
@@ -74,17 +76,19 @@
         closed_zones: Collection[ZoneId],
     ) -> tuple[UpstreamId, ...]:
         """Applies the published upstreams and returns those that get no more calls."""
+        self._notices.forget_replaced(upstreams.keys())
         usable = {
             upstream: known
             for upstream, known in upstreams.items()
             if known.entry.state is UpstreamState.READY
             and known.entry.zone not in closed_zones
+            and not self._notices.is_leaving(known.entry)
         }
         dropped = tuple(
             upstream for upstream in self.replicas if upstream not in usable
         )
         for upstream in dropped:
-            del self.replicas[upstream]
+            self.replicas.pop(upstream).is_retired = True
         for upstream, known in usable.items():
             self._update_replica(upstream, known)
         self._by_service = {}
@@ -93,6 +97,27 @@
             self._by_service.setdefault(service, {})[upstream] = replica
         return dropped
 
+    def record_leaving(self, replica: Replica) -> bool:
+        """Records that an upstream's process is leaving; returns whether that is new.
+
+        It gets no further calls, whatever its entry says. ``update`` then removes it.
+        """
+        replica.is_retired = True
+        return self._notices.record_leaving(replica.entry)
+
+    def record_pause(self, replica: Replica, pause_ms: float, now: Millis) -> None:
+        """Records that an upstream's process wants no calls for a time."""
+        replica.paused_until = self._notices.record_pause(replica.entry, pause_ms, now)
+
+    def get_available_at(self, service: ServiceId, now: Millis) -> Millis | None:
+        """Returns when the pause of some upstream of a service has ended.
+
+        It is ``now`` if some upstream is not paused, and None without upstreams.
+        """
+        replicas = self._by_service.get(service, {}).values()
+        ends = [max(now, replica.paused_until) for replica in replicas]
+        return min(ends, default=None)
+
     def has_upstreams(self, service: ServiceId) -> bool:
         return bool(self._by_service.get(service))
 
@@ -123,7 +148,9 @@
         best_cost = float("inf")
         connect_cost = self._get_connect_cost(service, typical_ms)
         for upstream, replica in self._by_service.get(service, {}).items():
-            if upstream in tried or not self._may_call(replica, now):
+            if upstream in tried or not replica.accepts_calls(now):
+                continue
+            if not self._may_call(replica, now):
                 continue
             cost = self._estimate_cost(replica, now)
             match get_access(replica):
@@ -173,7 +200,9 @@
         reachable again.
         """
         due = [
-            replica for replica in self.replicas.values() if replica.needs_probe(now)
+            replica
+            for replica in self.replicas.values()
+            if replica.needs_probe(now) and replica.accepts_calls(now)
         ]
         self._random.shuffle(due)
         for zone in sorted(self.list_unreachable_zones(now)):
@@ -234,11 +263,15 @@
     def _update_replica(self, upstream: UpstreamId, known: RegisteredUpstream) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
-            self.replicas[upstream] = Replica(
+            if replica is not None:
+                replica.is_retired = True
+            replica = Replica(
                 entry=known.entry,
                 seen_at=known.first_seen_at,
                 zone_reachability=self._zone_reachability[known.entry.zone],
             )
+            replica.paused_until = self._notices.get_pause_end(known.entry)
+            self.replicas[upstream] = replica
             return
         replica.entry = known.entry
         replica.seen_at = known.first_seen_at
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -182,6 +182,10 @@
         self.runs: list[tuple[str, Headers]] = []
         self.delay_s = 0.0
         self.handler: Handler | None = None
+        self.is_leaving = False
+        # With a time, the upstream refuses all requests and wants none for so long.
+        self.retry_after: str | None = None
+        self.refused: list[str] = []
 
     def describe(self, state: str = "ready") -> dict:
         return {
@@ -207,8 +211,13 @@
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         request = headers["request-id"]
+        leaving = {"Server-Leaving": "1"} if self.is_leaving else {}
+        if self.retry_after is not None:
+            self.refused.append(request)
+            fields = {"Not-Executed": "1", "Retry-After": self.retry_after}
+            return 503, leaving | {"Request-Id": request} | fields, b""
         self.runs.append((request, headers))
-        fields = {
+        fields = leaving | {
             "Request-Id": request,
             "Server-Stamp": f"{self.upstream}.{request}.{len(self.runs)}",
             "Server-Load": "1,0,4",
@@ -221,10 +230,10 @@
 
     def __init__(self, *, port: int, host: str = HOST) -> None:
         self._port = port
-        self._host = host
+        self.host = host
 
     async def __aenter__(self) -> Caller:
-        self.reader, self.writer = await asyncio.open_connection(self._host, self._port)
+        self.reader, self.writer = await asyncio.open_connection(self.host, self._port)
         return self
 
     async def __aexit__(self, *error: object) -> None:
--- a/tests/gateway/test_abandoned_calls.py
+++ b/tests/gateway/test_abandoned_calls.py
@@ -48,6 +48,7 @@
         on_connected=lambda replica, duration_ms: None,
         memory=ReceiveMemory(memory_mb=200.0),
         on_rejected=lambda upstream, reason: None,
+        on_notice=lambda replica, response: None,
     )
 
 
--- a/tests/gateway/test_upstream_connection.py
+++ b/tests/gateway/test_upstream_connection.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, strategies
 
+from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.gateway._receive_limits import (
     MAX_HEAD_BYTES,
     UNSHARED_BODY_BYTES,
@@ -41,6 +42,7 @@
         self.memory = memory or ReceiveMemory(memory_mb=MEMORY_MB)
         self.responses: list[tuple[bytes, bytes]] = []
         self.rejections: list[str] = []
+        self.notices: list[UpstreamResponse] = []
         self.waiting: list[bytes] = []
         self.is_lost = False
         self.transport = FakeTransport()
@@ -50,6 +52,7 @@
             on_response=self._handle_response,
             on_connection_lost=self._handle_loss,
             on_rejected=lambda connection, reason: self.rejections.append(reason),
+            on_notice=self.notices.append,
         )
         self.connection.connection_made(self.transport)
 
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -16,7 +16,7 @@
     UpstreamStandin,
     build_configuration,
 )
-from tests.soak.ledger import Ledger, Run, SentRequest
+from tests.soak.ledger import Ledger, Refusal, Run, SentRequest
 from tests.soak.processes import GatewayProcesses, Placement
 from tests.soak.proxy import Proxy
 
@@ -54,18 +54,32 @@
         self.fault = ResponseFault.LOST
 
     async def handle(self, method: str, target: str, headers: Headers, body: bytes):
+        request = headers["request-id"]
+        self._ledger.arrivals.append((request, self.upstream, time.monotonic()))
+        # It is leaving if it is when the request arrives: the answer says so, too.
+        said_leaving = self.is_leaving
         answer = await super().handle(method, target, headers, body)
+        if self.retry_after is not None:
+            self._ledger.refusals.append(
+                Refusal(
+                    request=request,
+                    upstream=self.upstream,
+                    at=time.monotonic(),
+                    pause_s=float(self.retry_after),
+                )
+            )
         if answer is None or isinstance(answer, bytes) or answer[0] != 200:
             return answer
         status, fields, _ = answer
         content = self._rng.randbytes(32)
-        self._ledger.runs[headers["request-id"]].append(
+        self._ledger.runs[request].append(
             Run(
                 at=time.monotonic(),
                 upstream=self.upstream,
                 signature=fields["Server-Stamp"],
                 body=content,
                 account=headers.get("tenant"),
+                said_leaving=said_leaving,
                 carried_key=any(value in KEY_ACCOUNTS for value in headers.values()),
             )
         )
@@ -176,6 +190,8 @@
         await self.store.put("op/config", document)
 
     def start_gateway(self, number: int, *, is_first: bool = False) -> None:
+        host = self._processes.placements[number].host
+        self.ledger.starts[host].append(time.monotonic())
         self._processes.start(
             number, store_port=self.store_proxy.port, is_first=is_first
         )
@@ -244,6 +260,7 @@
             kind=kind,
             key=key,
             sent_at=time.monotonic(),
+            instance=caller.host,
         )
         self.ledger.sent[sent.request] = sent
         method = "POST" if kind == "file" else "GET"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -124,7 +124,10 @@
 async def replace_upstream(environment: SoakEnvironment) -> None:
     """Adds a replacement for an upstream, then drains and removes the old one."""
     name = environment.rng.choice(list(environment.upstreams))
-    if name in environment.ledger.draining_since:
+    if (
+        name in environment.ledger.draining_since
+        or environment.upstreams[name].is_leaving
+    ):
         return
     service = environment.upstreams[name].service
     await environment.add_upstream(service, f"{name}-next")
@@ -152,6 +155,30 @@
         await environment.store.delete(key)
 
 
+async def release_upstream(environment: SoakEnvironment) -> None:
+    """Lets an upstream say that it leaves; its entry stays ready until it is gone."""
+    name = environment.rng.choice(list(environment.upstreams))
+    upstream = environment.upstreams[name]
+    if upstream.is_leaving or name in environment.ledger.draining_since:
+        return
+    await environment.add_upstream(upstream.service, f"{name}-next")
+    upstream.is_leaving = True
+    await asyncio.sleep(STOP_GRACE_S)
+    await environment.store.delete(f"servers/{name}")
+
+
+async def pause_upstreams(environment: SoakEnvironment) -> None:
+    """Lets some upstreams refuse requests and ask for time."""
+    upstreams = list(environment.upstreams.values())
+    affected = environment.rng.sample(upstreams, environment.rng.choice((1, 1, 3)))
+    pause_s = environment.rng.uniform(0.5, 2.0)
+    for upstream in affected:
+        upstream.retry_after = f"{pause_s:.2f}"
+    await asyncio.sleep(environment.rng.uniform(0.3, 2.0))
+    for upstream in affected:
+        upstream.retry_after = None
+
+
 async def evacuate_zone(environment: SoakEnvironment) -> None:
     """Evacuates an availability zone and takes it back."""
     zone = environment.rng.choice(("zone-a", "zone-b"))
@@ -206,7 +233,14 @@
     evacuate_zone,
     evacuate_zone,
 )
-LATEST_STEPS = (*ALL_STEPS, write_large_entries)
+LATEST_STEPS = (
+    *ALL_STEPS,
+    write_large_entries,
+    release_upstream,
+    release_upstream,
+    pause_upstreams,
+    pause_upstreams,
+)
 
 
 async def run_seed(
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -22,8 +22,23 @@
 SLACK_REQUESTS = 20
 
 
+# Requests that may reach an upstream from one instance after it has asked for time, and
+# how long after its answer they don't count.
+MAX_REQUESTS_IN_PAUSE = 2
+PAUSE_GRACE_S = 0.5
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that an upstream refused, and for how long it wants no others."""
+
+    request: str
+    upstream: str
+    at: float
+    pause_s: float
+
+
 class Run(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that an upstream ran."""
+    """A request that an upstream ran; it may have said that it was leaving."""
 
     at: float
     upstream: str
@@ -31,6 +46,7 @@
     body: bytes
     account: str | None
     carried_key: bool
+    said_leaving: bool = False
 
 
 class SentRequest(msgspec.Struct, kw_only=True):
@@ -40,6 +56,7 @@
     kind: str
     key: str
     sent_at: float
+    instance: str = ""
     status: int = 0
     body: bytes = b""
     signatures: tuple[str, ...] = ()
@@ -61,6 +78,11 @@
         self.evacuations: list[tuple[str, float, float]] = []
         self.store_fault_periods: list[tuple[float, float]] = []
         self.account_limits: dict[str, tuple[float, float]] = {}
+        # The request, the upstream and the time of each arrival.
+        self.arrivals: list[tuple[str, str, float]] = []
+        self.refusals: list[Refusal] = []
+        # When processes of each instance were started.
+        self.starts: dict[str, list[float]] = collections.defaultdict(list)
 
     def list_violations(self) -> list[str]:
         """Returns one line for each violated guarantee."""
@@ -72,8 +94,65 @@
                 violations.append(f"UNASKED {request}: no caller sent it")
             violations.extend(self._check_runs(request, runs))
         violations.extend(self._check_rates())
+        violations.extend(self._check_leaving())
+        violations.extend(self._check_pauses())
         return violations
 
+    def _check_leaving(self) -> list[str]:
+        """Checks that an instance which passed on the notice of a leave obeys it."""
+        passed_on_at: dict[tuple[str, str], float] = {}
+        for request, runs in self.runs.items():
+            sent = self.sent.get(request)
+            for run in runs:
+                if (
+                    sent is not None
+                    and run.said_leaving
+                    and run.signature in sent.signatures
+                ):
+                    key = (sent.instance, run.upstream)
+                    first = passed_on_at.get(key, float("inf"))
+                    passed_on_at[key] = min(first, sent.answered_at)
+        violations = []
+        for request, upstream, _ in self.arrivals:
+            sent = self.sent.get(request)
+            since = sent and passed_on_at.get((sent.instance, upstream))
+            if (
+                since is not None
+                and sent.sent_at > since + MAX_DRAIN_S
+                and not self._has_started(sent.instance, since, sent.sent_at)
+            ):
+                violations.append(
+                    f"DRAIN {request}: reached {upstream} from {sent.instance}, "
+                    f"{sent.sent_at - since:.1f} s after it had passed on its leave"
+                )
+        return violations
+
+    def _check_pauses(self) -> list[str]:
+        violations = []
+        for refusal in self.refusals:
+            sent = self.sent.get(refusal.request)
+            if sent is None:
+                continue
+            start, end = refusal.at + PAUSE_GRACE_S, refusal.at + refusal.pause_s
+            if self._has_started(sent.instance, refusal.at, end):
+                continue
+            arrived = sum(
+                start < at < end
+                and upstream == refusal.upstream
+                and request in self.sent
+                and self.sent[request].instance == sent.instance
+                for request, upstream, at in self.arrivals
+            )
+            if arrived > MAX_REQUESTS_IN_PAUSE:
+                violations.append(
+                    f"BUDGET {refusal.request}: {arrived} requests reached "
+                    f"{refusal.upstream} from {sent.instance} in its pause"
+                )
+        return violations
+
+    def _has_started(self, instance: str, since: float, until: float) -> bool:
+        return any(since <= at <= until for at in self.starts[instance])
+
     def _check_request(self, sent: SentRequest) -> list[str]:
         runs = self.runs.get(sent.request, [])
         violations = []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,12 +4,13 @@
 
 import pathlib
 
+import msgspec
 import pytest
 
-from tests.soak.faults import ALL_STEPS, STEPS, run_seed
-from tests.soak.ledger import Ledger, Run, SentRequest
+from tests.soak.faults import ALL_STEPS, LATEST_STEPS, STEPS, run_seed
+from tests.soak.ledger import Ledger, Refusal, Run, SentRequest
 
-SEEDS = ((1, STEPS), (2, STEPS), (3, ALL_STEPS))
+SEEDS = ((1, STEPS), (2, STEPS), (3, ALL_STEPS), (4, LATEST_STEPS))
 
 
 @pytest.mark.parametrize(("seed", "choices"), SEEDS)
@@ -92,6 +93,45 @@
     assert any(line.startswith("EVAC") for line in violations) is is_found
 
 
+@pytest.mark.parametrize(
+    ("sent_at", "started_at", "is_found"),
+    [(14.0, None, True), (12.0, None, False), (14.0, 13.0, False)],
+)
+def test_ledger_finds_calls_to_leaving_upstreams(
+    sent_at: float, started_at: float | None, is_found: bool
+) -> None:
+    """The instance has passed on the notice at 10.5; a restart forgets it."""
+    ledger = build_ledger()
+    ledger.sent["r1"].answered_at = 10.5
+    ledger.sent["r1"].instance = "a"
+    ledger.runs["r1"] = [
+        msgspec.structs.replace(ledger.runs["r1"][0], said_leaving=True)
+    ]
+    ledger.sent["r2"] = SentRequest(
+        request="r2", kind="read", key="key", sent_at=sent_at, instance="a"
+    )
+    ledger.arrivals.append(("r2", "u", sent_at))
+    if started_at is not None:
+        ledger.starts["a"].append(started_at)
+    violations = ledger.list_violations()
+    assert any(line.startswith("DRAIN r2") for line in violations) is is_found
+
+
+@pytest.mark.parametrize(("arrivals", "is_found"), [(2, False), (3, True)])
+def test_ledger_finds_requests_in_a_pause(arrivals: int, is_found: bool) -> None:
+    ledger = build_ledger()
+    ledger.refusals.append(Refusal(request="r1", upstream="u", at=10.0, pause_s=2.0))
+    for number in range(arrivals):
+        ledger.sent[f"x{number}"] = SentRequest(
+            request=f"x{number}", kind="read", key="key", sent_at=11.0
+        )
+        ledger.arrivals.append((f"x{number}", "u", 11.0))
+    # Shortly after the refusal, requests may still be on their way.
+    ledger.arrivals.append(("r1", "u", 10.2))
+    violations = ledger.list_violations()
+    assert any(line.startswith("BUDGET") for line in violations) is is_found
+
+
 def test_ledger_finds_accounts_above_their_rate_limit() -> None:
     ledger = build_ledger()
     ledger.account_limits["museum"] = (1.0, 1.0)
