Load the flag parser only for arguments and violations

Cause: memory of each process is priced and absl.flags takes 1.5 MB of 19.1 MB after the imports; the platform starts processes without arguments, and invariants import absl's logging although a violation has never been logged there. Change: the command line is parsed in its own module, which imports absl only if there are arguments; a violated invariant imports the logger.

--- a/src/skylarkcart/gateway/main.py
+++ b/src/skylarkcart/gateway/main.py
@@ -13,9 +13,8 @@
 import signal
 import sys
 
-from absl import flags
-
 from skylarkcart.errors import InvalidValueError
+from skylarkcart.gateway._command_line import parse_command_line
 from skylarkcart.gateway._event_loop import run_event_loop
 from skylarkcart.gateway._instance import GatewayInstance
 from skylarkcart.platform._machine import read_machine_settings
@@ -26,21 +25,14 @@
 # How often the settings file is checked for changes, which may come without a signal.
 SETTINGS_CHECK_S = 2.0
 
-_SETTINGS = flags.DEFINE_string(
-    "settings", None, "Path of the platform's settings file."
-)
-_CHECK = flags.DEFINE_bool("check", False, "Only check the settings file.")
-
 
 def run() -> None:
     """Entry point of the console script."""
     try:
-        arguments = flags.FLAGS(sys.argv)
-    except flags.Error as error:
+        command_line = parse_command_line(sys.argv)
+    except InvalidValueError as error:
         _exit_invalid(str(error))
-    if len(arguments) > 1:
-        _exit_invalid(f"unexpected argument {arguments[1]!r}, expected only flags")
-    path = _SETTINGS.value or os.environ.get(SETTINGS_VARIABLE)
+    path = command_line.settings_path or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         _exit_invalid(f"neither --settings nor {SETTINGS_VARIABLE} names a file")
     try:
@@ -49,7 +41,7 @@
         _exit_invalid(str(error))
     except ExceptionGroup as group:
         _exit_invalid("\n".join(str(error) for error in group.exceptions))
-    if _CHECK.value:
+    if command_line.only_checks:
         print(f"{path}: valid settings of {settings.instance}")
         return
     run_event_loop(_serve(pathlib.Path(path), GatewayInstance(settings=settings)))
--- a/src/skylarkcart/invariants.py
+++ b/src/skylarkcart/invariants.py
@@ -12,8 +12,6 @@
 import collections
 import enum
 
-from absl import logging
-
 from skylarkcart.errors import SkylarkcartError
 
 
@@ -55,6 +53,9 @@
     """
     if condition:
         return
+    # Imported only for a violation, as it takes 1.5 MB of each process.
+    from absl import logging
+
     _state.violations[invariant] += 1
     logging.error("event=invariant_violated name=%s detail=%r", invariant.value, detail)
     if _state.strict:
