Give each test instance ports that no outgoing connection can take

Ports came from the range of outgoing connections, and one process could be given the same port twice. Change: ports come from below that range and are never returned twice.

--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import socket
 
 from skylarkcart.gateway._instance import GatewayInstance
@@ -20,10 +21,27 @@
 READY_TIMEOUT_S = 10.0
 
 
+# Below the ports that the system gives to outgoing connections, one of which could
+# otherwise take a port between its choice and its use.
+PORTS = range(15_000, 32_000)
+
+_ports_in_use: set[int] = set()
+
+
 def find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port that no process listens on and that was not returned before."""
+    while True:
+        # Not from the seeded generator: test processes run side by side.
+        port = secrets.choice(PORTS)
+        if port in _ports_in_use:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _ports_in_use.add(port)
+        return port
 
 
 def build_settings(store: StoreStandin, **fields: object) -> GatewaySettings:
