Fail calls at once whose response has a status outside 200 to 599

A status of 000 or 099 counted as an informational response, so that the call waited until its time was over; 600, 700 and 999 were passed on to callers.

--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -10,10 +10,9 @@
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.gateway._receive_limits import ReceiveMemory, ResponseMeter
 from skylarkcart.platform._messages import decode_response
+from skylarkcart.platform._response_heads import find_invalidity, is_interim
 from skylarkcart.types import UpstreamId
 
-MIN_FINAL_STATUS = 200
-
 ResponseHandler = Callable[["UpstreamConnection", UpstreamResponse], None]
 ConnectionLostHandler = Callable[["UpstreamConnection"], None]
 RejectionHandler = Callable[["UpstreamConnection", str], None]
@@ -27,8 +26,9 @@
     upstream has sent ids before, since it may be a late copy of an earlier response.
     Data that arrives without a pending call, or behind the response to one, belongs to
     no request and makes the connection unusable. ``on_rejected`` gets the reason when
-    data exceeds a limit; the connection is then closed. ``on_notice`` gets each
-    complete response in which the upstream speaks of itself, also one that is dropped.
+    data exceeds a limit or is no answer; the connection is then closed. ``on_notice``
+    gets each complete response in which the upstream speaks of itself, also one that is
+    dropped.
     """
 
     def __init__(
@@ -133,6 +133,9 @@
     def on_headers_complete(self) -> None:
         self._is_reading_body = True
         self._meter.end_head()
+        invalidity = find_invalidity(status=self._parser.get_status_code())
+        if invalidity is not None:
+            self._rejection = invalidity.value
 
     def on_body(self, body: bytes) -> None:
         if self._rejection is not None:
@@ -143,11 +146,13 @@
 
     def on_message_complete(self) -> None:
         self._is_reading_body = False
+        if self._rejection is not None:
+            return
         status = self._parser.get_status_code()
-        if status < MIN_FINAL_STATUS:
+        if is_interim(status):
             self._meter.add_interim_response()
             return
-        if self._response is not None or self._rejection is not None:
+        if self._response is not None:
             return
         response = decode_response(status, self._headers, b"".join(self._body))
         self._meter.release()
--- /dev/null
+++ b/tests/gateway/test_invalid_responses.py
@@ -0,0 +1,103 @@
+"""Guards against responses that are no answer.
+
+An upstream in trouble sent a response with status 000, which a caller got as an answer;
+here, such a call waited until its time was over, and a status of 600 was passed on.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.gateway.test_upstream_connection import Receiver
+
+SIGNED = b"Request-Id: r1\r\nServer-Stamp: s\r\n"
+BODY = b"Content-Length: 2\r\n\r\nok"
+ANSWER = b"HTTP/1.1 200 OK\r\n" + SIGNED + BODY
+
+
+def build_status(status: bytes, request: bytes = b"r1") -> bytes:
+    signed = SIGNED.replace(b"r1", request)
+    return b"HTTP/1.1 " + status + b" Odd\r\n" + signed + BODY
+
+
+def receive(data: bytes, *, piece: int) -> Receiver:
+    """Returns a receiver whose call got the data in pieces of a size."""
+    receiver = Receiver()
+    receiver.send(b"r1")
+    for start in range(0, len(data), piece):
+        receiver.receive(data[start : start + piece])
+    return receiver
+
+
+def check_rejected(data: bytes, reason: str) -> None:
+    """Checks that a response fails its call at once, however it is split."""
+    for piece in (len(data), 1):
+        receiver = receive(data, piece=piece)
+        assert receiver.responses == []
+        assert receiver.rejections == [reason]
+        assert receiver.transport.is_aborted
+        receiver.end()
+        assert receiver.responses == [] and receiver.is_lost
+        assert receiver.memory.held == 0
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"700", b"999"])
+def test_status_that_is_none_is_no_answer(status):
+    check_rejected(build_status(status), "invalid_status")
+    # The call ends with the head; the rest of such a response may never arrive.
+    check_rejected(build_status(status).removesuffix(b"ok"), "invalid_status")
+
+
+@pytest.mark.parametrize("status", [b"200", b"299", b"304", b"404", b"500", b"599"])
+def test_status_of_an_answer_is_passed_on(status):
+    receiver = receive(build_status(status), piece=1)
+    assert len(receiver.responses) == 1 and receiver.rejections == []
+
+
+class InvalidResponses:
+    """Makes upstreams run the first requests and respond with an odd status."""
+
+    def __init__(self, deployment, *upstreams: str, status: bytes, limit: int) -> None:
+        self.requests: list[str] = []
+        self._status = status
+        self._limit = limit
+        self._counter = deployment.instance._core.metrics.rejected_responses
+        for name in upstreams:
+            deployment.upstreams[name].handler = self._handle
+
+    async def _handle(self, method, target, headers, body) -> bytes | None:
+        if len(self.requests) == self._limit:
+            return None
+        self.requests.append(headers["request-id"])
+        return build_status(self._status, headers["request-id"].encode())
+
+    @property
+    def rejected(self) -> int:
+        return int(self._counter.labels("invalid_status")._value.get())
+
+
+@pytest.mark.parametrize("status", [b"000", b"600"])
+async def test_call_without_an_answer_moves_or_fails(deployment, status):
+    """An idempotent request moves to another upstream; others end with 502."""
+    invalid = InvalidResponses(deployment, "d1", "d2", status=status, limit=1)
+    async with deployment.open_caller() as caller:
+        answer_status, _, _ = await caller.send("/read/x", "q1")
+    assert answer_status == 200
+    assert len(deployment.list_runs("q1")) == 1 and invalid.rejected == 1
+    invalid = InvalidResponses(deployment, "d1", "d2", status=status, limit=2)
+    async with deployment.open_caller() as caller:
+        caller.write("/file/x", "q2", method="POST")
+        answer_status, _, _ = await caller.read()
+    assert answer_status == 502
+    assert invalid.requests == ["q2"] and invalid.rejected == 2
+    assert deployment.list_runs("q2") == []
+
+
+@pytest.mark.parametrize("status", [b"000", b"600"])
+async def test_part_without_an_answer_is_left_out(deployment, status):
+    invalid = InvalidResponses(deployment, "b1", "b2", status=status, limit=9)
+    async with deployment.open_caller() as caller:
+        answer_status, headers, body = await caller.send("/search/x", "q1")
+    assert answer_status == 200 and headers["missing-parts"] == "1"
+    assert b"ok" not in body
+    assert invalid.rejected == len(invalid.requests) > 0
