Count and log malformed responses and upgrades that nobody requested

A response that the parser refuses (status line, two lengths, a length beside chunks, folded lines) or that switches protocols ended its call and connection at once, but was neither counted nor logged, so that an operator saw only lost connections.

--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -10,7 +10,11 @@
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.gateway._receive_limits import ReceiveMemory, ResponseMeter
 from skylarkcart.platform._messages import decode_response
-from skylarkcart.platform._response_heads import find_invalidity, is_interim
+from skylarkcart.platform._response_heads import (
+    InvalidResponse,
+    find_invalidity,
+    is_interim,
+)
 from skylarkcart.types import UpstreamId
 
 ResponseHandler = Callable[["UpstreamConnection", UpstreamResponse], None]
@@ -106,6 +110,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_reusable = False
+            if self._response is None and self._rejection is None:
+                self._rejection = InvalidResponse.MALFORMED.value
         rejection = self._meter.add_data(len(data)) or self._rejection
         # The response is passed on only now: data behind it must not be taken for the
         # response to the next call.
--- a/tests/gateway/test_invalid_responses.py
+++ b/tests/gateway/test_invalid_responses.py
@@ -54,6 +54,48 @@
     assert len(receiver.responses) == 1 and receiver.rejections == []
 
 
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+MALFORMED = {
+    "bytes that are no response": b"garbage" * 9,
+    "status with two digits": build_status(b"20"),
+    "status with four digits": build_status(b"2000"),
+    "status that is no number": build_status(b"2x0"),
+    "unknown minor version": ANSWER.replace(b"HTTP/1.1", b"HTTP/1.9"),
+    "status line that ends with a line feed": ANSWER.replace(b"OK\r\n", b"OK\n"),
+    "two lengths": ANSWER.replace(BODY, b"Content-Length: 3\r\n" + BODY),
+    "list of lengths": ANSWER.replace(b"Length: 2", b"Length: 2, 2"),
+    "negative length": ANSWER.replace(b"Length: 2", b"Length: -2"),
+    "chunks beside a length": ANSWER.replace(BODY, CHUNKED + BODY),
+    "folded line": ANSWER.replace(SIGNED, SIGNED + b"X-Note: a\r\n b\r\n"),
+    "folded first line": ANSWER.replace(SIGNED, b" X-Note: a\r\n" + SIGNED),
+    "header without a colon": ANSWER.replace(SIGNED, SIGNED + b"X-Note\r\n"),
+    "body of an interim response": b"HTTP/1.1 100 Odd\r\n" + BODY + ANSWER,
+    "invalid length of a chunk": ANSWER.replace(BODY, CHUNKED + b"\r\n-2\r\nok\r\n"),
+}
+
+
+@pytest.mark.parametrize("kind", MALFORMED)
+def test_malformed_response_is_counted(kind):
+    """An operator sees why an upstream gets no more calls."""
+    check_rejected(MALFORMED[kind], "malformed")
+
+
+@pytest.mark.parametrize(
+    "fields", [b"", b"Upgrade: x\r\n", b"Connection: upgrade\r\nUpgrade: x\r\n"]
+)
+def test_upgrade_that_was_not_requested_is_no_answer(fields):
+    upgrade = b"HTTP/1.1 101 Switching Protocols\r\n" + fields + b"\r\n"
+    check_rejected(upgrade, "unrequested_upgrade")
+    check_rejected(upgrade + ANSWER, "unrequested_upgrade")
+
+
+def test_bytes_behind_an_answer_leave_it_valid():
+    """Such bytes belong to no request; the answer is not made worse by them."""
+    receiver = receive(ANSWER + b"garbage", piece=200)
+    assert receiver.responses == [(b"r1", b"ok")]
+    assert receiver.rejections == [] and receiver.transport.is_aborted
+
+
 class InvalidResponses:
     """Makes upstreams run the first requests and respond with an odd status."""
 
