Bound informational responses also when they arrive with the answer

The bound of 8 was checked only after a whole piece of data, so that any number of informational responses in one piece with the answer passed, and the same bytes in several pieces did not. It is checked with each of them now. test_interim_responses_are_bounded_however_they_are_split failed before.

--- a/src/skylarkcart/gateway/_receive_limits.py
+++ b/src/skylarkcart/gateway/_receive_limits.py
@@ -103,8 +103,11 @@
     def end_head(self) -> None:
         self._is_reading_head = False
 
-    def add_interim_response(self) -> None:
+    def add_interim_response(self) -> str | None:
         self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            return "too_many_interim_responses"
+        return None
 
     def add_body(self, size: int) -> str | None:
         """Counts a piece of a body before it is kept."""
@@ -121,8 +124,6 @@
     def add_data(self, size: int) -> str | None:
         """Counts data that the parser has processed."""
         self._call_bytes += size
-        if self._interim_responses > MAX_INTERIM_RESPONSES:
-            return "too_many_interim_responses"
         if self._is_reading_head:
             self._head_bytes += size
             if self._head_bytes > self._limits.max_head_bytes:
--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -156,7 +156,7 @@
             return
         status = self._parser.get_status_code()
         if is_interim(status):
-            self._meter.add_interim_response()
+            self._rejection = self._meter.add_interim_response()
             return
         if self._response is not None:
             return
--- a/tests/gateway/test_invalid_responses.py
+++ b/tests/gateway/test_invalid_responses.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from skylarkcart.gateway._receive_limits import MAX_INTERIM_RESPONSES
 from tests.gateway.test_upstream_connection import Receiver
 
 SIGNED = b"Request-Id: r1\r\nServer-Stamp: s\r\n"
@@ -89,6 +90,16 @@
     check_rejected(upgrade + ANSWER, "unrequested_upgrade")
 
 
+def test_interim_responses_are_bounded_however_they_are_split():
+    """In one piece with the answer, any number of them was accepted."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+    for piece in (1, 10_000):
+        receiver = receive(interim * MAX_INTERIM_RESPONSES + ANSWER, piece=piece)
+        assert receiver.responses == [(b"r1", b"ok")]
+    too_many = interim * (MAX_INTERIM_RESPONSES + 1) + ANSWER
+    check_rejected(too_many, "too_many_interim_responses")
+
+
 def test_bytes_behind_an_answer_leave_it_valid():
     """Such bytes belong to no request; the answer is not made worse by them."""
     receiver = receive(ANSWER + b"garbage", piece=200)
