Reject a 204 that states a body, and don't reuse the connection after a 304

The parser ends both with their head. A body that an upstream sends all the same arrives later, when the next call may be on its way, and would be taken for its response. A 204 that states a body is no answer; the length of a 304 is legitimate, so the answer stands and the connection is closed.

--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -11,6 +11,7 @@
 from skylarkcart.gateway._receive_limits import ReceiveMemory, ResponseMeter
 from skylarkcart.platform._messages import decode_response
 from skylarkcart.platform._response_heads import (
+    STATUS_NOT_MODIFIED,
     InvalidResponse,
     find_invalidity,
     is_interim,
@@ -139,7 +140,9 @@
     def on_headers_complete(self) -> None:
         self._is_reading_body = True
         self._meter.end_head()
-        invalidity = find_invalidity(status=self._parser.get_status_code())
+        invalidity = find_invalidity(
+            status=self._parser.get_status_code(), headers=self._headers
+        )
         if invalidity is not None:
             self._rejection = invalidity.value
 
@@ -173,7 +176,11 @@
                 return
         if response.idle_timeout_s is not None:
             self.idle_timeout_s = response.idle_timeout_s
-        if not self._has_body_length or not self._parser.should_keep_alive():
+        if (
+            not self._has_body_length
+            or status == STATUS_NOT_MODIFIED
+            or not self._parser.should_keep_alive()
+        ):
             self.is_reusable = False
         self._response = response
 
--- a/tests/gateway/test_invalid_responses.py
+++ b/tests/gateway/test_invalid_responses.py
@@ -21,6 +21,10 @@
     return b"HTTP/1.1 " + status + b" Odd\r\n" + signed + BODY
 
 
+def build_head(status: bytes, fields: bytes) -> bytes:
+    return b"HTTP/1.1 " + status + b" Odd\r\n" + SIGNED + fields + b"\r\n"
+
+
 def receive(data: bytes, *, piece: int) -> Receiver:
     """Returns a receiver whose call got the data in pieces of a size."""
     receiver = Receiver()
@@ -100,6 +104,26 @@
     check_rejected(too_many, "too_many_interim_responses")
 
 
+@pytest.mark.parametrize("fields", [b"Content-Length: 2\r\n", CHUNKED])
+def test_body_where_none_is_allowed_is_no_answer(fields):
+    """Its bytes would be taken for the response to the next call."""
+    check_rejected(build_head(b"204", fields), "unexpected_body")
+
+
+def test_empty_response_is_an_answer():
+    for fields in (b"", b"Content-Length: 0\r\n"):
+        receiver = receive(build_head(b"204", fields), piece=1)
+        assert receiver.responses == [(b"r1", b"")] and not receiver.rejections
+
+
+def test_connection_is_not_used_again_after_304_with_a_length():
+    """The length describes another response, but an upstream may send that body."""
+    body = b"Content-Length: 2\r\n"
+    receiver = receive(build_head(b"304", body), piece=1)
+    assert receiver.responses == [(b"r1", b"")]
+    assert not receiver.connection.is_reusable and receiver.transport.is_aborted
+
+
 def test_bytes_behind_an_answer_leave_it_valid():
     """Such bytes belong to no request; the answer is not made worse by them."""
     receiver = receive(ANSWER + b"garbage", piece=200)
