Reject responses with a transfer coding other than chunked

A body with the codings gzip and chunked was passed on compressed, without the header that says so; with another last coding its end was waited for until the time of the call was over. Neither is a body that can be passed on. test_unknown_transfer_coding_is_no_answer failed before for each coding.

--- a/src/skylarkcart/platform/_response_heads.py
+++ b/src/skylarkcart/platform/_response_heads.py
@@ -23,6 +23,7 @@
     STATUS = "invalid_status"
     UPGRADE = "unrequested_upgrade"
     BODY = "unexpected_body"
+    TRANSFER_CODING = "unknown_transfer_coding"
 
 
 def is_interim(status: int) -> bool:
@@ -40,14 +41,15 @@
         return InvalidResponse.UPGRADE
     if not is_interim(status) and not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
         return InvalidResponse.STATUS
-    if status == STATUS_NO_CONTENT and _states_body(headers):
+    lengths = _list_values(headers, b"content-length")
+    codings = _list_values(headers, b"transfer-encoding")
+    has_body = bool(codings) or any(length.strip(b"0") for length in lengths)
+    if status == STATUS_NO_CONTENT and has_body:
         return InvalidResponse.BODY
+    if codings and codings != [b"chunked"]:
+        return InvalidResponse.TRANSFER_CODING
     return None
 
 
-def _states_body(headers: Headers) -> bool:
-    """Whether the head gives a body a length above 0 or a transfer coding."""
-    fields = {name.lower(): value for name, value in headers}
-    return b"transfer-encoding" in fields or bool(
-        fields.get(b"content-length", b"").strip(b" 0")
-    )
+def _list_values(headers: Headers, wanted: bytes) -> list[bytes]:
+    return [value.strip().lower() for name, value in headers if name.lower() == wanted]
--- a/tests/gateway/test_invalid_responses.py
+++ b/tests/gateway/test_invalid_responses.py
@@ -124,6 +124,23 @@
     assert not receiver.connection.is_reusable and receiver.transport.is_aborted
 
 
+@pytest.mark.parametrize(
+    "coding", [b"gzip, chunked", b"chunked, gzip", b"gzip", b"identity", b"xchunked"]
+)
+def test_unknown_transfer_coding_is_no_answer(coding):
+    """The body was passed on encoded, or its end was waited for."""
+    head = build_head(b"200", b"Transfer-Encoding: " + coding + b"\r\n")
+    check_rejected(head, "unknown_transfer_coding")
+    check_rejected(head + b"2\r\nok\r\n0\r\n\r\n", "unknown_transfer_coding")
+
+
+def test_chunked_response_is_an_answer():
+    for coding in (b"chunked", b"Chunked"):
+        head = build_head(b"200", b"Transfer-Encoding: " + coding + b"\r\n")
+        receiver = receive(head + b"2\r\nok\r\n0\r\n\r\n", piece=1)
+        assert receiver.responses == [(b"r1", b"ok")]
+
+
 def test_bytes_behind_an_answer_leave_it_valid():
     """Such bytes belong to no request; the answer is not made worse by them."""
     receiver = receive(ANSWER + b"garbage", piece=200)
