Reject responses of protocols other than HTTP/1.0 and HTTP/1.1

The parser also accepts the status lines of RTSP, of ICE and of HTTP 0.9 and 2.0, and a caller got such a response as an answer. The first bytes of a call's response are kept until its head is complete, as the parser doesn't tell them. test_response_of_another_protocol_is_no_answer failed before for each of five.

--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -11,6 +11,7 @@
 from skylarkcart.gateway._receive_limits import ReceiveMemory, ResponseMeter
 from skylarkcart.platform._messages import decode_response
 from skylarkcart.platform._response_heads import (
+    PROTOCOL,
     STATUS_NOT_MODIFIED,
     InvalidResponse,
     find_invalidity,
@@ -54,12 +55,14 @@
         self._meter = ResponseMeter(memory=memory)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        self._framing_headers: list[tuple[bytes, bytes]] = []
         self._is_reading_body = False
         self._has_body_length = False
         self._request_id: bytes | None = None
         self._response: UpstreamResponse | None = None
         self._rejection: str | None = None
         self._has_sent_ids = False
+        self._protocol = b""
         self.is_open = False
         self.is_reusable = True
         self.has_sent_call = False
@@ -73,6 +76,7 @@
     def send(self, data: bytes, *, request_id: bytes) -> None:
         self.has_sent_call = True
         self._request_id = request_id
+        self._protocol = b""
         self._meter.begin_call()
         self._transport.write(data)
 
@@ -107,6 +111,9 @@
         if not self.is_busy:
             self.close()
             return
+        if len(self._protocol) < len(PROTOCOL):
+            # The parser accepts other protocols and doesn't tell which one it read.
+            self._protocol = (self._protocol + data.lstrip(b"\r\n"))[: len(PROTOCOL)]
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -126,6 +133,7 @@
     def on_message_begin(self) -> None:
         self._headers = []
         self._body = []
+        self._framing_headers = []
         self._is_reading_body = False
         self._has_body_length = False
         self._meter.begin_message()
@@ -136,12 +144,16 @@
         self._headers.append((name, value))
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._has_body_length = True
+            self._framing_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._is_reading_body = True
         self._meter.end_head()
         invalidity = find_invalidity(
-            status=self._parser.get_status_code(), headers=self._headers
+            protocol=self._protocol,
+            version=self._parser.get_http_version(),
+            status=self._parser.get_status_code(),
+            framing_headers=self._framing_headers,
         )
         if invalidity is not None:
             self._rejection = invalidity.value
--- a/src/skylarkcart/platform/_response_heads.py
+++ b/src/skylarkcart/platform/_response_heads.py
@@ -7,6 +7,8 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
+PROTOCOL = b"HTTP/"
+SUPPORTED_VERSIONS = ("1.0", "1.1")
 MIN_FINAL_STATUS = 200
 MAX_FINAL_STATUS = 599
 INTERIM_STATUSES = range(100, 200)
@@ -21,6 +23,7 @@
 
     MALFORMED = "malformed"
     STATUS = "invalid_status"
+    PROTOCOL = "unsupported_protocol"
     UPGRADE = "unrequested_upgrade"
     BODY = "unexpected_body"
     TRANSFER_CODING = "unknown_transfer_coding"
@@ -31,18 +34,25 @@
     return status in INTERIM_STATUSES
 
 
-def find_invalidity(*, status: int, headers: Headers) -> InvalidResponse | None:
+def find_invalidity(
+    *, protocol: bytes, version: str, status: int, framing_headers: Headers
+) -> InvalidResponse | None:
     """Returns why a response with this head is no answer, or None.
 
-    >>> find_invalidity(status=0, headers=[])
+    ``protocol`` holds the first bytes of the response, and ``framing_headers`` its
+    Content-Length and Transfer-Encoding headers.
+
+    >>> find_invalidity(protocol=b"HTTP/", version="1.1", status=0, framing_headers=[])
     <InvalidResponse.STATUS: 'invalid_status'>
     """
+    if protocol != PROTOCOL or version not in SUPPORTED_VERSIONS:
+        return InvalidResponse.PROTOCOL
     if status == STATUS_SWITCHING_PROTOCOLS:
         return InvalidResponse.UPGRADE
     if not is_interim(status) and not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
         return InvalidResponse.STATUS
-    lengths = _list_values(headers, b"content-length")
-    codings = _list_values(headers, b"transfer-encoding")
+    lengths = _list_values(framing_headers, b"content-length")
+    codings = _list_values(framing_headers, b"transfer-encoding")
     has_body = bool(codings) or any(length.strip(b"0") for length in lengths)
     if status == STATUS_NO_CONTENT and has_body:
         return InvalidResponse.BODY
--- a/tests/gateway/test_invalid_responses.py
+++ b/tests/gateway/test_invalid_responses.py
@@ -141,6 +141,22 @@
         assert receiver.responses == [(b"r1", b"ok")]
 
 
+@pytest.mark.parametrize(
+    "protocol", [b"RTSP/1.0", b"RTSP/1.1", b"ICE/1.0", b"HTTP/0.9", b"HTTP/2.0"]
+)
+def test_response_of_another_protocol_is_no_answer(protocol):
+    """The parser accepts these protocols, too."""
+    check_rejected(ANSWER.replace(b"HTTP/1.1", protocol), "unsupported_protocol")
+
+
+@pytest.mark.parametrize("start", [b"HTTP/1.0", b"HTTP/1.1", b"\r\n\r\nHTTP/1.1"])
+def test_response_of_http_1_is_an_answer(start):
+    for piece in (1, 200):
+        receiver = receive(ANSWER.replace(b"HTTP/1.1", start), piece=piece)
+        assert receiver.responses == [(b"r1", b"ok")]
+        assert receiver.rejections == []
+
+
 def test_bytes_behind_an_answer_leave_it_valid():
     """Such bytes belong to no request; the answer is not made worse by them."""
     receiver = receive(ANSWER + b"garbage", piece=200)
