Relay a 204 without a length

The gateway added Content-Length: 0 to each response that it passed on. RFC 9110, section 8.6 forbids it in a 204, and a strict client may refuse such a response. test_relayed_204_states_no_length failed before.

--- a/src/skylarkcart/platform/_messages.py
+++ b/src/skylarkcart/platform/_messages.py
@@ -10,6 +10,7 @@
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.exchange import CallerRequest, ReportedLoad, UpstreamResponse
 from skylarkcart.platform import _names as names
+from skylarkcart.platform._response_heads import STATUS_NO_CONTENT
 from skylarkcart.types import AccountId, UpstreamId
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -207,11 +208,15 @@
     status: int, headers: bytes, body: bytes, *, close_connection: bool
 ) -> bytes:
     connection = b"Connection: close\r\n" if close_connection else b""
-    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+    # A 204 has no body and must not state a length (RFC 9110, section 8.6).
+    length = (
+        b"" if status == STATUS_NO_CONTENT else b"Content-Length: %d\r\n" % len(body)
+    )
+    return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b" % (
         status,
         REASON_PHRASES.get(status, b"Status"),
         headers,
-        len(body),
+        length,
         connection,
         body,
     )
