Skip the store's informational responses and close after an invalid status

An informational response was taken for the store's answer: the read failed and so did the next one, whose connection then held the answer to the first. A status of 000 or 600 failed the read but left the connection in use.

--- a/src/skylarkcart/platform/_response_heads.py
+++ b/src/skylarkcart/platform/_response_heads.py
@@ -34,6 +34,11 @@
     return status in INTERIM_STATUSES
 
 
+def is_final(status: int) -> bool:
+    """Whether a response with this status can be an answer."""
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 def find_invalidity(
     *, protocol: bytes, version: str, status: int, framing_headers: Headers
 ) -> InvalidResponse | None:
@@ -49,7 +54,7 @@
         return InvalidResponse.PROTOCOL
     if status == STATUS_SWITCHING_PROTOCOLS:
         return InvalidResponse.UPGRADE
-    if not is_interim(status) and not MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS:
+    if not is_interim(status) and not is_final(status):
         return InvalidResponse.STATUS
     lengths = _list_values(framing_headers, b"content-length")
     codings = _list_values(framing_headers, b"transfer-encoding")
--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -14,6 +14,7 @@
 
 from skylarkcart.errors import DECODING_ERRORS, SkylarkcartError
 from skylarkcart.platform._names import RANGE_PATH, WATCH_PATH
+from skylarkcart.platform._response_heads import is_final, is_interim
 from skylarkcart.published import Address, StoredItem
 
 # A response holds about 1 MB of items; changes of several seconds may take more.
@@ -233,10 +234,16 @@
         if self._response is None or self._response.done():
             self.abort()
             return
+        status = self._parser.get_status_code()
+        if is_interim(status):
+            return
+        if not is_final(status):
+            self._fail(ConnectionError(f"status {status} is no HTTP status"))
+            return
         if not self._parser.should_keep_alive():
             self.is_closed = True
             self._transport.close()
-        self._response.set_result((self._parser.get_status_code(), bytes(self._body)))
+        self._response.set_result((status, bytes(self._body)))
 
 
 def _convert_item(item: _Item) -> StoredItem:
--- a/tests/gateway/test_invalid_responses.py
+++ b/tests/gateway/test_invalid_responses.py
@@ -8,9 +8,8 @@
 
 import pytest
 
-from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.gateway._receive_limits import MAX_INTERIM_RESPONSES
-from skylarkcart.platform._messages import encode_relayed_response
+from skylarkcart.platform._messages import decode_response, encode_relayed_response
 from tests.gateway.test_upstream_connection import Receiver
 
 SIGNED = b"Request-Id: r1\r\nServer-Stamp: s\r\n"
@@ -168,22 +167,12 @@
 
 def test_relayed_204_states_no_length():
     """The gateway's own responses keep to the same rules."""
-    (answer,) = receive_answers(build_head(b"204", b""))
+    answer = decode_response(204, [(b"Server-Stamp", b"s")], b"")
     relayed = encode_relayed_response(answer, close_connection=False)
     assert relayed.startswith(b"HTTP/1.1 204 ")
     assert b"content-length" not in relayed.lower()
 
 
-def receive_answers(data: bytes) -> list[UpstreamResponse]:
-    receiver = Receiver()
-    answers: list[UpstreamResponse] = []
-    receiver.connection._on_response = lambda connection, answer: answers.append(answer)
-    receiver.send(b"r1")
-    receiver.receive(data)
-    receiver.end()
-    return answers
-
-
 class InvalidResponses:
     """Makes upstreams run the first requests and respond with an odd status."""
 
