Close the connection to the store when unrequested bytes arrive

A copy of a response, of which a part arrived with the response, was completed behind the next request and taken for its answer, so that the state went back.

--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -181,6 +181,10 @@
         self._received_bytes = 0
         self.is_closed = False
 
+    @property
+    def _is_waiting(self) -> bool:
+        return self._response is not None and not self._response.done()
+
     async def get(
         self, target: str, *, host: str, on_data: Callable[[], None]
     ) -> tuple[int, bytes]:
@@ -203,14 +207,16 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.is_closed = True
-        if self._response is not None and not self._response.done():
+        if self._is_waiting:
             cause = error or ConnectionResetError("the store closed the connection")
             self._response.set_exception(cause)
 
     def data_received(self, data: bytes) -> None:
+        if not self._is_waiting:
+            self.abort()
+            return
         self._received_bytes += len(data)
-        if self._response is not None and not self._response.done():
-            self._on_data()
+        self._on_data()
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self._fail(
                 ResponseTooLargeError(
@@ -230,9 +236,13 @@
     def on_body(self, body: bytes) -> None:
         self._body += body
 
-    def on_message_complete(self) -> None:
-        if self._response is None or self._response.done():
+    def on_message_begin(self) -> None:
+        # Bytes that belong to no request must not answer the next one.
+        if not self._is_waiting:
             self.abort()
+
+    def on_message_complete(self) -> None:
+        if not self._is_waiting:
             return
         status = self._parser.get_status_code()
         if is_interim(status):
--- a/tests/platform/test_invalid_store_responses.py
+++ b/tests/platform/test_invalid_store_responses.py
@@ -1,6 +1,7 @@
 """Guards against responses of the store that are no answer.
 
-An informational response was taken for the answer, so that the read failed.
+An informational response was taken for the answer, so that the read failed, and a copy
+of a response for the answer to the next read.
 """
 
 from __future__ import annotations
@@ -90,3 +91,13 @@
     store.scripts = [[b"HTTP/1.1 101 Switching Protocols\r\n\r\n"]]
     with pytest.raises(StoreError, match="malformed"):
         await store.read(client)
+
+
+@pytest.mark.parametrize("size", [1, 20, 200])
+async def test_copy_of_a_response_answers_no_later_read(store, client, size):
+    """Part of the copy or all of it arrives with the response."""
+    copy = build_response(1)
+    first = [copy + copy[:size], copy[size:] + build_response(2)]
+    store.scripts = [first, [build_response(2)]]
+    assert await store.read(client) == 1
+    assert await store.read(client) == 2
