Close connections of entry instances whose response has an invalid status

The client's response class raises for such a status and closes the connection, also towards peers and the platform; the reason is invalid_status.

--- a/src/skylarkcart/entry/_client.py
+++ b/src/skylarkcart/entry/_client.py
@@ -19,8 +19,10 @@
 import msgspec
 
 from skylarkcart.entry._connections import (
+    CheckedResponse,
     ConnectionClosedCallback,
     ConnectionOpenedCallback,
+    InvalidStatusError,
     build_connector,
 )
 from skylarkcart.entry._wire import (
@@ -116,6 +118,7 @@
                 connector=self._get_connector(max_connections),
                 connector_owner=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                response_class=CheckedResponse,
                 auto_decompress=False,
                 trace_configs=[_build_trace_config()] if has_send_hook else [],
             )
@@ -175,6 +178,10 @@
                 return await _read_reply(response)
         except aiohttp.ClientConnectorError:
             return UpstreamReply(reason="connect_failed", verdict=RunVerdict.NOT_RUN)
+        except InvalidStatusError:
+            return UpstreamReply(
+                reason="invalid_status", verdict=RunVerdict.MAY_HAVE_RUN
+            )
         except asyncio.TimeoutError:
             return UpstreamReply(reason="timeout", verdict=RunVerdict.MAY_HAVE_RUN)
         except (aiohttp.ClientError, OSError):
--- a/src/skylarkcart/entry/_connections.py
+++ b/src/skylarkcart/entry/_connections.py
@@ -1,4 +1,4 @@
-"""Reports when client connections open and close, including idle ones.
+"""Reports when client connections open and close, and closes faulty ones.
 
 A closed connection can mean that the upstream's process has ended. aiohttp has no
 public hook for an idle connection that is closed and dropped from its pool, so the
@@ -13,6 +13,9 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+
+from skylarkcart.platform._response_heads import is_final
 
 # Idle connections are kept for a long time, as an open connection shows that the
 # upstream process is still running.
@@ -58,6 +61,23 @@
         super().abort()
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """The status of a response is none that an answer can have."""
+
+
+class CheckedResponse(aiohttp.ClientResponse):
+    """Closes the connection instead of returning a response that is no answer."""
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        # A response that has arrived completely has already released its connection.
+        protocol = connection.protocol
+        await super().start(connection)
+        if not is_final(self.status):
+            protocol.close()
+            raise InvalidStatusError(f"status {self.status} is no HTTP status")
+        return self
+
+
 def build_connector(
     *,
     limit_per_host: int,
--- a/src/skylarkcart/entry/_instance.py
+++ b/src/skylarkcart/entry/_instance.py
@@ -11,6 +11,7 @@
 from skylarkcart.clock import Clock, SystemClock
 from skylarkcart.entry._callers import CallerRoutes
 from skylarkcart.entry._client import UpstreamClient
+from skylarkcart.entry._connections import CheckedResponse
 from skylarkcart.entry._fleet import build_peer_messages
 from skylarkcart.entry._logging import log_event
 from skylarkcart.entry._peers import PeerExchange
@@ -70,7 +71,7 @@
 
         The instance is ready later, when it has received the published values.
         """
-        self._platform_session = aiohttp.ClientSession()
+        self._platform_session = aiohttp.ClientSession(response_class=CheckedResponse)
         platform = HttpPlatform(
             url=self.settings.platform_url, session=self._platform_session
         )
--- a/src/skylarkcart/entry/_peers.py
+++ b/src/skylarkcart/entry/_peers.py
@@ -22,6 +22,7 @@
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.entry import http_server
 from skylarkcart.entry._background_tasks import BackgroundTasks
+from skylarkcart.entry._connections import CheckedResponse
 from skylarkcart.entry._fleet import PEER_MESSAGE_TYPES, FleetAgent, PeerMessage
 from skylarkcart.entry._logging import log_warning
 from skylarkcart.entry._metrics import Metrics
@@ -71,7 +72,9 @@
     async def start(self) -> None:
         timeout = aiohttp.ClientTimeout(total=EXCHANGE_TIMEOUT_S)
         self._session = aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar()
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            response_class=CheckedResponse,
         )
         self._background.start("peers", self._tick)
 
