--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -83,7 +83,7 @@
     burst: float = 0.0
 
 
-class _Configuration(_Document, frozen=True):
+class ConfigurationDocument(_Document, frozen=True):
     version: Count
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
@@ -108,7 +108,7 @@
     Raises:
         InvalidValueError: the document is malformed or a field is missing.
     """
-    document = _decode(CONFIGURATION_KEY, data, _Configuration)
+    document = _decode(CONFIGURATION_KEY, data, ConfigurationDocument)
     return Configuration(
         version=document.version,
         routes=tuple(_convert_route(route) for route in document.routes),
