End the calls that wait for an address at which connecting can't work

Connecting to a name that can't be encoded, or to a port beyond 65,535, raises no OSError. The task ended with the attempt counted as running, so that the calls that waited for it were never answered. Entries of the store can't hold such an address, but the state of a peer can.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -132,6 +132,9 @@
             memory=ReceiveMemory(memory_mb=settings.memory_mb),
             on_rejected=self._record_rejected_response,
             on_notice=self._handle_notice,
+            on_error=lambda upstream, error: self.record_error(
+                "connect", error, upstream=upstream
+            ),
         )
         self.table: RouteTable | None = None
         # The one in the registry; the table's is older if this one has failed.
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -122,9 +122,11 @@
         memory: ReceiveMemory,
         on_rejected: Callable[[UpstreamId, str], None],
         on_notice: Callable[[Replica, UpstreamResponse], None],
+        on_error: Callable[[UpstreamId, Exception], None],
     ) -> None:
         self._clock = clock
         self._on_notice = on_notice
+        self._on_error = on_error
         self._memory = memory
         self._on_rejected = on_rejected
         self._on_connected = on_connected
@@ -321,7 +323,10 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError):
+        except Exception as error:
+            if not isinstance(error, (OSError, TimeoutError)):
+                # An address of a peer's state may be one that can't be used at all.
+                self._on_error(replica.entry.upstream, error)
             connections.connecting -= 1
             replica.record_connection_failure(self._clock.now())
             self._fail_waiting(replica, connections)
--- a/tests/gateway/test_abandoned_calls.py
+++ b/tests/gateway/test_abandoned_calls.py
@@ -40,7 +40,7 @@
         writer.close()
 
 
-def build_pool() -> UpstreamPool:
+def build_pool(on_error=lambda upstream, error: None) -> UpstreamPool:
     return UpstreamPool(
         clock=SystemClock(),
         get_limit=lambda replica: 4,
@@ -49,6 +49,7 @@
         memory=ReceiveMemory(memory_mb=200.0),
         on_rejected=lambda upstream, reason: None,
         on_notice=lambda replica, response: None,
+        on_error=on_error,
     )
 
 
