Let the choice among services go on over versions of the configuration

Each version began the choice anew, always with the greatest part: the random offset multiplied the weights and changed nothing. Credits of services that stay are now kept, counted in requests, new services balance them, and an instance begins at a random point of the cycle.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -238,7 +238,9 @@
             self.lifecycle.mark_ready()
 
     def _put_in_force(self, configuration: Configuration) -> None:
-        table = RouteTable(configuration=configuration, random=self.random)
+        table = RouteTable(
+            configuration=configuration, random=self.random, previous=self.table
+        )
         self.quotas.configure(table.accounts, self.now)
         self.table = table
         self._used_services = table.list_reachable_services()
--- a/src/skylarkcart/routing/_table.py
+++ b/src/skylarkcart/routing/_table.py
@@ -10,9 +10,19 @@
 
 
 class RouteTable:
-    """Looks up the route, account and service of a request."""
+    """Looks up the route, account and service of a request.
 
-    def __init__(self, *, configuration: Configuration, random: random.Random) -> None:
+    The table of the ``previous`` version lets the choice among services go on where it
+    was; each version would otherwise begin with the same services.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        random: random.Random,
+        previous: RouteTable | None = None,
+    ) -> None:
         self.configuration = configuration
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
@@ -28,8 +38,13 @@
         self.services: dict[ServiceId, Service] = {
             service.service: service for service in configuration.services
         }
+        choices = {} if previous is None else previous._weighted_services
         self._weighted_services = {
-            route.name: WeightedServices(shares=route.shares, offset=random.random())
+            route.name: WeightedServices(
+                shares=route.shares,
+                offset=random.random(),
+                previous=choices.get(route.name),
+            )
             for route in configuration.routes
             if route.shares
         }
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -32,16 +32,22 @@
     return Route(**values)
 
 
-def build_table(*routes: Route, accounts: tuple[Account, ...] = ()) -> RouteTable:
+def build_configuration(
+    *routes: Route, accounts: tuple[Account, ...] = ()
+) -> Configuration:
     limits = CallerLimits(
         max_header_bytes=1,
         max_body_bytes=1,
         header_timeout_ms=1.0,
         idle_timeout_ms=1.0,
     )
-    configuration = Configuration(
+    return Configuration(
         version=1, routes=routes, services=(), limits=limits, accounts=accounts
     )
+
+
+def build_table(*routes: Route, accounts: tuple[Account, ...] = ()) -> RouteTable:
+    configuration = build_configuration(*routes, accounts=accounts)
     return RouteTable(configuration=configuration, random=random.Random(1))
 
 
