Pass the previous table through the test's failing table

RouteTable takes the table of the previous version, and the subclass in the test named each argument of its constructor, so that it failed with TypeError for every version. It passes all of them on now; what it checks is unchanged. tests/gateway/test_unforeseen_errors.py passes.

--- a/tests/gateway/test_unforeseen_errors.py
+++ b/tests/gateway/test_unforeseen_errors.py
@@ -22,10 +22,10 @@
 class FailingTable(RouteTable):
     """Fails for one version of the configuration."""
 
-    def __init__(self, *, configuration, random) -> None:
+    def __init__(self, *, configuration, **fields) -> None:
         if configuration.version == 5:
             raise ZeroDivisionError("a fault of the table")
-        super().__init__(configuration=configuration, random=random)
+        super().__init__(configuration=configuration, **fields)
 
 
 def put_configuration(core, version: int, revision: int) -> None:
