--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -132,6 +132,9 @@
             memory=ReceiveMemory(memory_mb=settings.memory_mb),
             on_rejected=self._record_rejected_response,
             on_notice=self._handle_notice,
+            on_error=lambda upstream, error: self.record_error(
+                "connect", error, upstream=upstream
+            ),
         )
         self.table: RouteTable | None = None
         # The one in the registry; the table's is older if this one has failed.
@@ -235,7 +238,9 @@
             self.lifecycle.mark_ready()
 
     def _put_in_force(self, configuration: Configuration) -> None:
-        table = RouteTable(configuration=configuration, random=self.random)
+        table = RouteTable(
+            configuration=configuration, random=self.random, previous=self.table
+        )
         self.quotas.configure(table.accounts, self.now)
         self.table = table
         self._used_services = table.list_reachable_services()
--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -10,10 +10,15 @@
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.gateway._receive_limits import ReceiveMemory, ResponseMeter
 from skylarkcart.platform._messages import decode_response
+from skylarkcart.platform._response_heads import (
+    PROTOCOL,
+    STATUS_NOT_MODIFIED,
+    InvalidResponse,
+    find_invalidity,
+    is_interim,
+)
 from skylarkcart.types import UpstreamId
 
-MIN_FINAL_STATUS = 200
-
 ResponseHandler = Callable[["UpstreamConnection", UpstreamResponse], None]
 ConnectionLostHandler = Callable[["UpstreamConnection"], None]
 RejectionHandler = Callable[["UpstreamConnection", str], None]
@@ -27,8 +32,9 @@
     upstream has sent ids before, since it may be a late copy of an earlier response.
     Data that arrives without a pending call, or behind the response to one, belongs to
     no request and makes the connection unusable. ``on_rejected`` gets the reason when
-    data exceeds a limit; the connection is then closed. ``on_notice`` gets each
-    complete response in which the upstream speaks of itself, also one that is dropped.
+    data exceeds a limit or is no answer; the connection is then closed. ``on_notice``
+    gets each complete response in which the upstream speaks of itself, also one that is
+    dropped.
     """
 
     def __init__(
@@ -49,12 +55,14 @@
         self._meter = ResponseMeter(memory=memory)
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        self._framing_headers: list[tuple[bytes, bytes]] = []
         self._is_reading_body = False
         self._has_body_length = False
         self._request_id: bytes | None = None
         self._response: UpstreamResponse | None = None
         self._rejection: str | None = None
         self._has_sent_ids = False
+        self._protocol = b""
         self.is_open = False
         self.is_reusable = True
         self.has_sent_call = False
@@ -68,6 +76,7 @@
     def send(self, data: bytes, *, request_id: bytes) -> None:
         self.has_sent_call = True
         self._request_id = request_id
+        self._protocol = b""
         self._meter.begin_call()
         self._transport.write(data)
 
@@ -102,10 +111,15 @@
         if not self.is_busy:
             self.close()
             return
+        if len(self._protocol) < len(PROTOCOL):
+            # The parser accepts other protocols and doesn't tell which one it read.
+            self._protocol = (self._protocol + data.lstrip(b"\r\n"))[: len(PROTOCOL)]
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_reusable = False
+            if self._response is None and self._rejection is None:
+                self._rejection = InvalidResponse.MALFORMED.value
         rejection = self._meter.add_data(len(data)) or self._rejection
         # The response is passed on only now: data behind it must not be taken for the
         # response to the next call.
@@ -119,6 +133,7 @@
     def on_message_begin(self) -> None:
         self._headers = []
         self._body = []
+        self._framing_headers = []
         self._is_reading_body = False
         self._has_body_length = False
         self._meter.begin_message()
@@ -129,10 +144,19 @@
         self._headers.append((name, value))
         if name.lower() in (b"content-length", b"transfer-encoding"):
             self._has_body_length = True
+            self._framing_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._is_reading_body = True
         self._meter.end_head()
+        invalidity = find_invalidity(
+            protocol=self._protocol,
+            version=self._parser.get_http_version(),
+            status=self._parser.get_status_code(),
+            framing_headers=self._framing_headers,
+        )
+        if invalidity is not None:
+            self._rejection = invalidity.value
 
     def on_body(self, body: bytes) -> None:
         if self._rejection is not None:
@@ -143,11 +167,13 @@
 
     def on_message_complete(self) -> None:
         self._is_reading_body = False
+        if self._rejection is not None:
+            return
         status = self._parser.get_status_code()
-        if status < MIN_FINAL_STATUS:
-            self._meter.add_interim_response()
+        if is_interim(status):
+            self._rejection = self._meter.add_interim_response()
             return
-        if self._response is not None or self._rejection is not None:
+        if self._response is not None:
             return
         response = decode_response(status, self._headers, b"".join(self._body))
         self._meter.release()
@@ -162,7 +188,11 @@
                 return
         if response.idle_timeout_s is not None:
             self.idle_timeout_s = response.idle_timeout_s
-        if not self._has_body_length or not self._parser.should_keep_alive():
+        if (
+            not self._has_body_length
+            or status == STATUS_NOT_MODIFIED
+            or not self._parser.should_keep_alive()
+        ):
             self.is_reusable = False
         self._response = response
 
--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -14,6 +14,7 @@
 
 from skylarkcart.errors import DECODING_ERRORS, SkylarkcartError
 from skylarkcart.platform._names import RANGE_PATH, WATCH_PATH
+from skylarkcart.platform._response_heads import is_final, is_interim
 from skylarkcart.published import Address, StoredItem
 
 # A response holds about 1 MB of items; changes of several seconds may take more.
@@ -180,6 +181,10 @@
         self._received_bytes = 0
         self.is_closed = False
 
+    @property
+    def _is_waiting(self) -> bool:
+        return self._response is not None and not self._response.done()
+
     async def get(
         self, target: str, *, host: str, on_data: Callable[[], None]
     ) -> tuple[int, bytes]:
@@ -202,14 +207,16 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.is_closed = True
-        if self._response is not None and not self._response.done():
+        if self._is_waiting:
             cause = error or ConnectionResetError("the store closed the connection")
             self._response.set_exception(cause)
 
     def data_received(self, data: bytes) -> None:
+        if not self._is_waiting:
+            self.abort()
+            return
         self._received_bytes += len(data)
-        if self._response is not None and not self._response.done():
-            self._on_data()
+        self._on_data()
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self._fail(
                 ResponseTooLargeError(
@@ -229,14 +236,24 @@
     def on_body(self, body: bytes) -> None:
         self._body += body
 
-    def on_message_complete(self) -> None:
-        if self._response is None or self._response.done():
+    def on_message_begin(self) -> None:
+        # Bytes that belong to no request must not answer the next one.
+        if not self._is_waiting:
             self.abort()
+
+    def on_message_complete(self) -> None:
+        if not self._is_waiting:
+            return
+        status = self._parser.get_status_code()
+        if is_interim(status):
+            return
+        if not is_final(status):
+            self._fail(ConnectionError(f"status {status} is no HTTP status"))
             return
         if not self._parser.should_keep_alive():
             self.is_closed = True
             self._transport.close()
-        self._response.set_result((self._parser.get_status_code(), bytes(self._body)))
+        self._response.set_result((status, bytes(self._body)))
 
 
 def _convert_item(item: _Item) -> StoredItem:
