Decode the fourth figure of a reported load and count unreadable ones

A header with four figures was dropped as a whole and in silence, so that no load of these upstreams was known. The fourth figure becomes the work factor, each figure is bounded, figures behind the fourth are ignored.

--- a/src/skylarkcart/exchange.py
+++ b/src/skylarkcart/exchange.py
@@ -28,11 +28,16 @@
 
 
 class ReportedLoad(msgspec.Struct, frozen=True, kw_only=True):
-    """The load that an upstream reports about itself."""
+    """The load that an upstream reports about itself.
+
+    ``work_factor`` is how long work takes on its machine relative to the usual time, or
+    None if it is not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_factor: float | None = None
 
 
 class UpstreamResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -48,6 +53,7 @@
     ``pause_ms`` is the time for which an upstream that refused the request wants no
     further ones from this instance, or None. ``has_invalid_pause`` is true if it
     states one that can't be read.
+    ``invalid_load`` is the start of a reported load that can't be read, or None.
     ``headers`` are unchanged.
     """
 
@@ -62,18 +68,24 @@
     is_leaving: bool
     pause_ms: float | None
     has_invalid_pause: bool
+    invalid_load: bytes | None
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
     @property
     def speaks_of_upstream(self) -> bool:
-        """Whether it says that the upstream is leaving or wants no calls for a time.
+        """Whether it says more of the upstream than its load, or a load in error.
 
         The response of another upstream, which now has the address, does not.
         """
         if self.is_misdirected:
             return False
-        return self.is_leaving or self.pause_ms is not None or self.has_invalid_pause
+        return (
+            self.is_leaving
+            or self.pause_ms is not None
+            or self.has_invalid_pause
+            or self.invalid_load is not None
+        )
 
     @property
     def is_success(self) -> bool:
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -77,6 +77,9 @@
 # Latency assumed before the first call of a route, as a fraction of its target latency.
 INITIAL_LATENCY_FRACTION = 0.3
 
+# An upstream that states its load in error does so in each response.
+MAX_NOTICE_LINES_PER_SECOND = 2
+
 # Innermost stack frames in the log line of an unexpected error.
 MAX_LOGGED_FRAMES = 4
 
@@ -501,6 +504,15 @@
             loop.call_soon(self.apply_published_state)
         if response.has_invalid_pause:
             self.metrics.upstream_notices.labels("invalid_pause").inc()
+        if response.invalid_load is not None:
+            self.metrics.upstream_notices.labels("invalid_load").inc()
+            self.log.write(
+                "load_unreadable",
+                level=Level.WARNING,
+                limit=MAX_NOTICE_LINES_PER_SECOND,
+                upstream=upstream,
+                value=repr(response.invalid_load),
+            )
         if response.pause_ms is not None:
             self.metrics.upstream_notices.labels("pause").inc()
             self.replicas.record_pause(replica, response.pause_ms, self.now)
--- a/src/skylarkcart/platform/_messages.py
+++ b/src/skylarkcart/platform/_messages.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from skylarkcart.errors import InvalidValueError
-from skylarkcart.exchange import CallerRequest, ReportedLoad, UpstreamResponse
+from skylarkcart.exchange import CallerRequest, UpstreamResponse
 from skylarkcart.platform import _names as names
+from skylarkcart.platform._load import parse_load
 from skylarkcart.types import AccountId, UpstreamId
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -127,6 +128,7 @@
         fields.get(names.RETRY_AFTER) if status == STATUS_UNAVAILABLE else None
     )
     pause_ms = _parse_pause_ms(retry_after)
+    load, invalid_load = parse_load(fields.get(names.LOAD))
     return UpstreamResponse(
         status=status,
         request_id=fields.get(names.REQUEST_ID),
@@ -134,11 +136,12 @@
         is_marked_not_run=names.NOT_RUN in fields or status == STATUS_MISDIRECTED,
         is_misdirected=status == STATUS_MISDIRECTED,
         has_content_encoding=b"content-encoding" in fields,
-        load=_parse_load(fields.get(names.LOAD)),
+        load=load,
         idle_timeout_s=_parse_idle_timeout(fields.get(b"keep-alive")),
         is_leaving=fields.get(names.LEAVING) == IS_LEAVING,
         pause_ms=pause_ms,
         has_invalid_pause=retry_after is not None and pause_ms is None,
+        invalid_load=invalid_load,
         headers=tuple(headers),
         body=body,
     )
@@ -255,17 +258,6 @@
         ) from error
 
 
-def _parse_load(value: bytes | None) -> ReportedLoad | None:
-    if value is None:
-        return None
-    try:
-        running, waiting, slots = map(int, value.split(b","))
-    except ValueError:
-        # The reported load is only a hint, so a malformed value is ignored.
-        return None
-    return ReportedLoad(running=running, waiting=waiting, slots=max(1, slots))
-
-
 def _parse_pause_ms(value: bytes | None) -> float | None:
     """Returns the time in milliseconds, or None without a valid one.
 
