Estimate the load of upstreams for now from their earlier reports

UpstreamLoad subtracts own calls from a report and relaxes to a learned mean by a regression of successive reports on their lag, pooled per service; the work factor is weighed by a regression of its own. Replicas.get_room sums the slots and estimated calls of a service's upstreams for the admission part. The choice is unchanged. tests/replicas, tests/platform pass.

--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -11,6 +11,7 @@
 from skylarkcart.backoff import compute_backoff_ms
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
+from skylarkcart.load import ServiceLoad, UpstreamLoad
 from skylarkcart.published import UpstreamEntry
 from skylarkcart.replicas._zone_reach import ZoneReachability
 
@@ -97,8 +98,14 @@
         entry: UpstreamEntry,
         seen_at: Millis,
         zone_reachability: ZoneReachability | None = None,
+        service_load: ServiceLoad | None = None,
     ) -> None:
         self.entry = entry
+        # Set once it has stated a work factor.
+        self.load: UpstreamLoad | None = None
+        self._service_load = service_load or ServiceLoad()
+        # When it came into use again after others of its service were in use.
+        self.returned_at = Millis(float("-inf"))
         # No further call may be sent to it.
         self.is_retired = False
         # The upstream has asked for no calls until then.
@@ -152,9 +159,9 @@
             return
         started_at, typical_ms = started_call
         if load is not None:
-            self._load_report = load
-            self._load_report_at = now
-            self._in_flight_at_load_report = len(self.in_flight)
+            self.record_load(
+                load, now=now, end=end, latency_ratio=(now - started_at) / typical_ms
+            )
         if end is CallEnd.ANSWERED:
             self._record_latency(started_at, typical_ms, now)
             self._record_success(now)
@@ -164,6 +171,37 @@
         else:
             self._record_failure(end, now)
 
+    def record_load(
+        self,
+        load: ReportedLoad,
+        *,
+        now: Millis,
+        end: CallEnd | None = None,
+        latency_ratio: float = 1.0,
+    ) -> None:
+        """Records the load that it reports, with the end of a call or without one."""
+        self._load_report = load
+        self._load_report_at = now
+        self._in_flight_at_load_report = len(self.in_flight)
+        if self.load is None:
+            if load.work_factor is None:
+                return
+            self.load = UpstreamLoad(service=self._service_load)
+        # The report of a call that was run includes it.
+        is_refusal = end is CallEnd.SHED
+        has_run = end is not None and not is_refusal
+        own_calls = len(self.in_flight) + has_run
+        is_quick = end is CallEnd.ANSWERED and latency_ratio <= 1.0
+        self.load.record(
+            load,
+            now=now,
+            own_calls=own_calls,
+            is_refusal=is_refusal,
+            is_contradicted=is_quick and load.waiting >= load.slots,
+        )
+        if end is CallEnd.ANSWERED and load.running + load.waiting <= load.slots:
+            self.load.record_pace(latency_ratio / (load.work_factor or 1.0))
+
     def accepts_calls(self, now: Millis) -> bool:
         """Whether a call may be sent to it, or wait for a connection to it."""
         return not self.is_retired and now >= self.paused_until
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from skylarkcart.clock import Millis
+from skylarkcart.load import LoadStatistics, ServiceLoad, ServiceRoom, compute_room
 from skylarkcart.published import RegisteredUpstream, UpstreamState
 from skylarkcart.replicas._notices import UpstreamNotices
 from skylarkcart.replicas._replica import Replica, SlowSample
@@ -65,6 +66,8 @@
         # Calls per second that this instance may make to each cold upstream of a
         # service. Services without an entry have no such limit.
         self.cold_calls_per_s: dict[ServiceId, float] = {}
+        self.load_statistics = LoadStatistics()
+        self._service_loads: dict[ServiceId, ServiceLoad] = {}
         self._connect_times_ms: dict[ServiceId, float] = {}
         self._zone_reachability: collections.defaultdict[ZoneId, ZoneReachability] = (
             collections.defaultdict(ZoneReachability)
@@ -95,6 +98,8 @@
         for upstream, replica in self.replicas.items():
             service = replica.entry.service
             self._by_service.setdefault(service, {})[upstream] = replica
+        for service in self._service_loads.keys() - self._by_service.keys():
+            del self._service_loads[service]
         return dropped
 
     def record_leaving(self, replica: Replica) -> bool:
@@ -129,6 +134,26 @@
     def list_replicas(self, service: ServiceId) -> tuple[Replica, ...]:
         return tuple(self._by_service.get(service, {}).values())
 
+    def get_room(
+        self, service: ServiceId, *, now: Millis, typical_ms: float
+    ) -> ServiceRoom | None:
+        """Returns the room of the upstreams that may get calls.
+
+        ``typical_ms`` is the typical latency of a call. Returns None if none of them
+        reports its load with a work factor.
+        """
+        return compute_room(
+            (
+                (replica.load, len(replica.in_flight))
+                for replica in self._by_service.get(service, {}).values()
+                if replica.load is not None
+                and replica.accepts_calls(now)
+                and not replica.is_unreachable(now)
+            ),
+            now=now,
+            typical_ms=typical_ms,
+        )
+
     def select(
         self,
         service: ServiceId,
@@ -260,6 +285,13 @@
             return True
         return replica.may_call_cold(now, calls_per_s=rate)
 
+    def _get_service_load(self, service: ServiceId) -> ServiceLoad:
+        load = self._service_loads.get(service)
+        if load is None:
+            load = ServiceLoad(statistics=self.load_statistics)
+            self._service_loads[service] = load
+        return load
+
     def _update_replica(self, upstream: UpstreamId, known: RegisteredUpstream) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
@@ -269,7 +301,10 @@
                 entry=known.entry,
                 seen_at=known.first_seen_at,
                 zone_reachability=self._zone_reachability[known.entry.zone],
+                service_load=self._get_service_load(known.entry.service),
             )
+            if known.entry.service in self._by_service:
+                replica.returned_at = known.first_seen_at
             replica.paused_until = self._notices.get_pause_end(known.entry)
             self.replicas[upstream] = replica
             return
