Choose among upstreams that state a work factor by draws from their load

Each instance took the least expected time of the same old reports, so that all chose the same upstream. Now the load is drawn from its estimate, at most three upstreams are compared, machine speed counts as capacity, another zone has a fixed price, and a returning upstream ramps up. Upstreams without a work factor are chosen as before.

--- a/src/skylarkcart/load/__init__.py
+++ b/src/skylarkcart/load/__init__.py
@@ -4,7 +4,7 @@
 last report and how fast such reports have lost their meaning before.
 
     service = ServiceLoad()
-    load = UpstreamLoad(service=service)
+    load = UpstreamLoad(service=service, now=now, slots=4)
     load.record(report, now=now, own_calls=2)
     load.expect_calls(now, own_calls=2)
 """
--- a/src/skylarkcart/load/_upstream.py
+++ b/src/skylarkcart/load/_upstream.py
@@ -9,9 +9,12 @@
 from skylarkcart.load._regression import LagRegression
 from skylarkcart.load._statistics import LoadStatistics
 
-# Cautious priors: queues last for some calls, a work factor for less than one.
+# Cautious priors: calls last for some tens of milliseconds, a queue about as long as a
+# pause of its upstream, and a work factor for less than a call.
 CALLS_HALF_LIFE_MS = 60.0
 CALLS_VARIANCE = 1.0
+QUEUED_HALF_LIFE_MS = 150.0
+QUEUED_VARIANCE = 2.0
 FACTOR_HALF_LIFE_MS = 20.0
 FACTOR_VARIANCE = 0.04
 
@@ -46,14 +49,21 @@
 
     def __init__(self, *, statistics: LoadStatistics | None = None) -> None:
         self.statistics = LoadStatistics() if statistics is None else statistics
+        # A queue often has a cause that lasts longer than the usual variation, so its
+        # reports are weighed on their own.
         self.calls = LagRegression(
             half_life_ms=CALLS_HALF_LIFE_MS, variance=CALLS_VARIANCE
         )
+        self.queued_calls = LagRegression(
+            half_life_ms=QUEUED_HALF_LIFE_MS, variance=QUEUED_VARIANCE
+        )
         self.factor = LagRegression(
             half_life_ms=FACTOR_HALF_LIFE_MS, variance=FACTOR_VARIANCE
         )
         # Whether an upstream of the service has stated a work factor.
         self.is_reported = False
+        # Waiting calls at which upstreams refuse further ones, as far as known.
+        self.queue_limit = float("inf")
         self.mean_calls = 0.0
         self.mean_factor = 1.0
 
@@ -66,18 +76,28 @@
         self.mean_calls += weight * (calls - self.mean_calls)
         self.mean_factor += weight * (factor - self.mean_factor)
 
+    def record_queue(self, report: ReportedLoad, *, is_refusal: bool) -> None:
+        """Learns how many calls may wait at an upstream."""
+        if is_refusal and report.running >= report.slots:
+            self.queue_limit = report.waiting
+        elif report.waiting > self.queue_limit:
+            self.queue_limit = report.waiting
+
 
 class UpstreamLoad:
     """Estimates the calls and the work factor of one upstream for now."""
 
-    def __init__(self, *, service: ServiceLoad) -> None:
+    def __init__(self, *, service: ServiceLoad, now: Millis, slots: int) -> None:
         self._service = service
-        self.slots = 1
-        self.reported_at = Millis(float("-inf"))
+        self._regression = service.calls
+        self.slots = slots
+        # When it was first considered, until it reports.
+        self.reported_at = now
+        self.has_report = False
         self.trust = 1.0
         # What was expected when the last report arrived, and the age of that estimate.
         self.last_expected = 0.0
-        self.last_age_ms = float("inf")
+        self.last_age_ms = 0.0
         self._mean_calls = service.mean_calls
         self._calls_deviation = 0.0
         self._mean_factor = service.mean_factor
@@ -112,13 +132,18 @@
         age_ms = now - self.reported_at
         calls_deviation = calls - self._mean_calls
         factor_deviation = factor - self._mean_factor
-        if 0.0 <= age_ms < float("inf"):
-            service = self._service
-            service.calls.record(self._calls_deviation, calls_deviation, age_ms=age_ms)
+        service = self._service
+        if self.has_report and age_ms >= 0.0:
+            self._regression.record(
+                self._calls_deviation, calls_deviation, age_ms=age_ms
+            )
             service.factor.record(
                 self._factor_deviation, factor_deviation, age_ms=age_ms
             )
-        self._service.record(calls=calls, factor=factor, trust=self.trust)
+        service.record(calls=calls, factor=factor, trust=self.trust)
+        service.record_queue(report, is_refusal=is_refusal)
+        is_queued = is_refusal or report.waiting > 0
+        self._regression = service.queued_calls if is_queued else service.calls
         self._reports += 1
         weight = max(UPSTREAM_MEAN_WEIGHT, 1.0 / (self._reports + 1.0))
         self._mean_calls += weight * calls_deviation
@@ -126,6 +151,7 @@
         self._calls_deviation = calls - self._mean_calls
         self._factor_deviation = factor - self._mean_factor
         self.reported_at = now
+        self.has_report = True
 
     def record_pace(self, ratio: float) -> None:
         """Records the time of a call without a queue, relative to its typical time."""
@@ -137,16 +163,14 @@
     def expect_calls(self, now: Millis, own_calls: int) -> float:
         """Returns the expected calls that run and wait there now, own ones included."""
         age_ms = now - self.reported_at
-        if age_ms == float("inf"):
-            return own_calls + self._service.mean_calls
-        weight = self._service.calls.weights[int(age_ms).bit_length()]
+        weight = self._regression.weights[int(age_ms).bit_length()]
         others = self._get_mean_calls(age_ms) + weight * self._calls_deviation
         return own_calls + max(0.0, others)
 
     def draw_calls(self, now: Millis, own_calls: int, random: random.Random) -> float:
         """Returns a draw from the distribution of the calls that are there now."""
         age_ms = now - self.reported_at
-        regression = self._service.calls
+        regression = self._regression
         age_class = int(age_ms).bit_length()
         others = (
             self._get_mean_calls(age_ms)
@@ -161,6 +185,11 @@
         factor = self._mean_factor + weight * self._factor_deviation
         return self._pace * factor
 
+    @property
+    def room(self) -> float:
+        """The calls that may run and wait there, as far as known."""
+        return self.slots + self._service.queue_limit
+
     def has_free_slot(self, now: Millis, own_calls: int) -> bool:
         return self.expect_calls(now, own_calls) + 1.0 <= self.slots
 
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -101,7 +101,7 @@
         service_load: ServiceLoad | None = None,
     ) -> None:
         self.entry = entry
-        # Set once it has stated a work factor.
+        # Set once an upstream of its service has stated a work factor.
         self.load: UpstreamLoad | None = None
         self._service_load = service_load or ServiceLoad()
         # When it came into use again after others of its service were in use.
@@ -186,7 +186,9 @@
         if self.load is None:
             if load.work_factor is None:
                 return
-            self.load = UpstreamLoad(service=self._service_load)
+            self.load = UpstreamLoad(
+                service=self._service_load, now=now, slots=load.slots
+            )
         # The report of a call that was run includes it.
         is_refusal = end is CallEnd.SHED
         has_run = end is not None and not is_refusal
@@ -246,6 +248,8 @@
     def record_connection(self, now: Millis) -> None:
         """Records that a connection succeeded after failures."""
         self._zone_reachability.record_contact(now)
+        if self._has_repeated_failures:
+            self.returned_at = now
         self._consecutive_failures = 0
         self._backoff_until = now
 
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -10,6 +10,12 @@
 from skylarkcart.clock import Millis
 from skylarkcart.load import LoadStatistics, ServiceLoad, ServiceRoom, compute_room
 from skylarkcart.published import RegisteredUpstream, UpstreamState
+from skylarkcart.replicas._even_choice import (
+    MAX_USABLE_COST,
+    OTHER_ZONE_PRICE,
+    ServiceOrder,
+    estimate_time,
+)
 from skylarkcart.replicas._notices import UpstreamNotices
 from skylarkcart.replicas._replica import Replica, SlowSample
 from skylarkcart.replicas._zone_reach import ZoneReachability
@@ -68,6 +74,8 @@
         self.cold_calls_per_s: dict[ServiceId, float] = {}
         self.load_statistics = LoadStatistics()
         self._service_loads: dict[ServiceId, ServiceLoad] = {}
+        # Of the services whose upstreams state a work factor, since the last update.
+        self._orders: dict[ServiceId, ServiceOrder] = {}
         self._connect_times_ms: dict[ServiceId, float] = {}
         self._zone_reachability: collections.defaultdict[ZoneId, ZoneReachability] = (
             collections.defaultdict(ZoneReachability)
@@ -98,6 +106,7 @@
         for upstream, replica in self.replicas.items():
             service = replica.entry.service
             self._by_service.setdefault(service, {})[upstream] = replica
+        self._orders.clear()
         for service in self._service_loads.keys() - self._by_service.keys():
             del self._service_loads[service]
         return dropped
@@ -147,6 +156,7 @@
                 (replica.load, len(replica.in_flight))
                 for replica in self._by_service.get(service, {}).values()
                 if replica.load is not None
+                and replica.load.has_report
                 and replica.accepts_calls(now)
                 and not replica.is_unreachable(now)
             ),
@@ -167,11 +177,23 @@
 
         ``typical_ms`` is the typical latency of a call. Upstreams in ``tried`` are
         skipped. Upstreams to which no further connection may be opened get a high cost,
-        as the call would wait for a connection to become free.
+        as the call would wait for a connection to become free. If the service's
+        upstreams state how long work takes on their machines, only some are compared,
+        by a draw from the estimate of their load.
         """
+        connect_cost = self._get_connect_cost(service, typical_ms)
+        load = self._service_loads.get(service)
+        if load is not None and load.is_reported:
+            return self._select_evenly(
+                service,
+                load,
+                now=now,
+                connect_cost=connect_cost,
+                tried=tried,
+                get_access=get_access,
+            )
         best: Replica | None = None
         best_cost = float("inf")
-        connect_cost = self._get_connect_cost(service, typical_ms)
         for upstream, replica in self._by_service.get(service, {}).items():
             if upstream in tried or not replica.accepts_calls(now):
                 continue
@@ -315,15 +337,65 @@
         cost = replica.get_latency_ratio(now) * (
             1.0 + replica.get_utilization(now) ** 2
         )
-        failure_ratio = replica.get_failure_ratio(now)
-        if failure_ratio:
-            cost /= max(MIN_SUCCESS_RATIO, 1.0 - failure_ratio) ** 2
-        if replica.entry.zone != self._zone:
-            cost *= OTHER_ZONE_COST_FACTOR
-        if replica.is_cold(now):
-            cost *= COLD_COST_FACTOR
-        if replica.in_flight and replica.is_stalled(now):
-            cost *= STALLED_COST_FACTOR
-        if replica.is_backed_off(now):
-            cost *= BACKOFF_COST_FACTOR
-        return cost
+        is_remote = replica.entry.zone != self._zone
+        zone_factor = OTHER_ZONE_COST_FACTOR if is_remote else 1.0
+        return _add_penalties(cost, replica, now, zone_factor=zone_factor)
+
+    def _select_evenly(
+        self,
+        service: ServiceId,
+        load: ServiceLoad,
+        *,
+        now: Millis,
+        connect_cost: float,
+        tried: Collection[UpstreamId],
+        get_access: Callable[[Replica], Access],
+    ) -> Replica | None:
+        """Returns the best of some upstreams, by draws from what is known of them."""
+        order = self._orders.get(service)
+        if order is None:
+            replicas = self._by_service.get(service, {}).values()
+            order = ServiceOrder(replicas, zone=self._zone, random=self._random)
+            self._orders[service] = order
+        best: Replica | None = None
+        best_cost = float("inf")
+        compared = 0
+        for replicas, limit in order.list_groups():
+            for replica in replicas:
+                if compared >= limit:
+                    break
+                entry = replica.entry
+                if entry.upstream in tried or not replica.accepts_calls(now):
+                    continue
+                if not self._may_call(replica, now):
+                    continue
+                cost = estimate_time(replica, load, now, self._random)
+                if entry.zone != self._zone:
+                    cost += OTHER_ZONE_PRICE
+                cost = _add_penalties(cost, replica, now)
+                match get_access(replica):
+                    case Access.UNCONNECTED:
+                        cost += connect_cost
+                    case Access.AT_CONNECTION_LIMIT:
+                        cost *= CONNECTION_LIMIT_COST_FACTOR
+                if cost < best_cost:
+                    best, best_cost = replica, cost
+                compared += cost < MAX_USABLE_COST
+        return best
+
+
+def _add_penalties(
+    cost: float, replica: Replica, now: Millis, *, zone_factor: float = 1.0
+) -> float:
+    """Returns the cost of an upstream that may fail, stall or be cold."""
+    failure_ratio = replica.get_failure_ratio(now)
+    if failure_ratio:
+        cost /= max(MIN_SUCCESS_RATIO, 1.0 - failure_ratio) ** 2
+    cost *= zone_factor
+    if replica.is_cold(now):
+        cost *= COLD_COST_FACTOR
+    if replica.in_flight and replica.is_stalled(now):
+        cost *= STALLED_COST_FACTOR
+    if replica.is_backed_off(now):
+        cost *= BACKOFF_COST_FACTOR
+    return cost
