Show estimate errors and misplaced calls of upstreams that state their load

A refused call is logged with what was believed of its upstream and siblings and how old that was; metrics count reports, estimate errors, contradictions, refused and misplaced calls. tests/replicas, platform, gateway, explain pass.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -22,6 +22,7 @@
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.fleet import UNKNOWN_RATE, Fleet
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
+from skylarkcart.gateway._load_reports import LoadCollector
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
 from skylarkcart.gateway._preconnect import Preconnector
@@ -111,6 +112,9 @@
         self.drain: DrainSchedule | None = None
         self.registry = Registry(on_event=self._record_event)
         self.replicas = Replicas(zone=settings.zone, random=random)
+        self.metrics.registry.register(
+            LoadCollector(get_statistics=lambda: self.replicas.load_statistics)
+        )
         self.quotas = Quotas(
             initial_fill_fraction=(
                 1.0 if settings.is_first_start else INITIAL_FILL_FRACTION
--- a/src/skylarkcart/gateway/_exchange.py
+++ b/src/skylarkcart/gateway/_exchange.py
@@ -13,9 +13,11 @@
     RequestCompletion,
 )
 from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._load_reports import log_refused_call
 from skylarkcart.gateway._pool import Call, CallResult
 from skylarkcart.gateway._timing import RequestDeadlines
 from skylarkcart.published import Route
+from skylarkcart.replicas import CallEnd
 from skylarkcart.types import AccountId
 from skylarkcart.verdict import RunVerdict
 
@@ -70,8 +72,18 @@
             )
 
     def _handle_end(self, call: Call, result: CallResult) -> None:
+        if result.end is CallEnd.SHED:
+            self._run_step(lambda: self._record_refusal(call, result))
         self._run_step(lambda: self._apply_result(call, result))
 
+    def _record_refusal(self, call: Call, result: CallResult) -> None:
+        core = self._core
+        refused = core.replicas.record_refusal(
+            call.replica, has_report=result.response.load is not None, now=core.now
+        )
+        if refused is not None:
+            log_refused_call(core.log, self._completion.request_text, refused)
+
     @abc.abstractmethod
     def _apply_result(self, call: Call, result: CallResult) -> None:
         """Handles the end of a call."""
--- a/src/skylarkcart/load/_regression.py
+++ b/src/skylarkcart/load/_regression.py
@@ -13,8 +13,15 @@
 # Factor on the sums of a class for each further pair, so that the latest hundred count.
 PAIR_DECAY = 0.99
 
-# Deviations beyond this many standard deviations are lowered to it.
-MAX_DEVIATIONS = 4.0
+# The weights are computed anew after this many pairs, since it takes longer than adding
+# a pair.
+PAIRS_PER_UPDATE = 16
+
+# Classes whose weights are updated; the last one begins at 35 minutes.
+UPDATED_CLASSES = 22
+
+# A uniform distribution with a standard deviation of 1 has this width.
+UNIFORM_WIDTH = 12.0**0.5
 
 # Weight of one report in the moving average of the variance.
 VARIANCE_WEIGHT = 0.02
@@ -24,9 +31,9 @@
     """Regression of a figure's deviation from its mean on an earlier deviation.
 
     ``weights[int(age_ms).bit_length()]`` is the part of a deviation that is expected to
-    remain after ``age_ms``, and ``spreads`` at the same index is the standard deviation
-    of what is then unknown. Until pairs of reports are recorded, a deviation halves in
-    ``half_life_ms``.
+    remain after ``age_ms``, and ``spreads`` at the same index is the width of a uniform
+    distribution with the variance of what is then unknown. Until pairs of reports are
+    recorded, a deviation halves in ``half_life_ms``.
 
     >>> regression = LagRegression(half_life_ms=100.0, variance=1.0)
     >>> regression.weights[int(100).bit_length()] < 0.6
@@ -40,6 +47,7 @@
             0.5 ** (2.0**age_class / math.sqrt(2.0) / half_life_ms)
             for age_class in range(AGE_CLASSES)
         ]
+        self._pairs_until_update = PAIRS_PER_UPDATE
         self._prior_weights = tuple(self.weights)
         self._products = [0.0] * AGE_CLASSES
         self._squares = [0.0] * AGE_CLASSES
@@ -47,21 +55,27 @@
 
     def record(self, earlier: float, later: float, *, age_ms: float) -> None:
         """Records a deviation and the one that was reported ``age_ms`` before it."""
-        limit = MAX_DEVIATIONS * math.sqrt(self._variance)
-        later_bounded = min(max(-limit, later), limit)
-        earlier = min(max(-limit, earlier), limit)
-        self._variance += VARIANCE_WEIGHT * (later_bounded**2 - self._variance)
-        self._variance = max(self._min_variance, self._variance)
         age_class = int(age_ms).bit_length()
-        products = self._products[age_class] * PAIR_DECAY + earlier * later_bounded
-        squares = self._squares[age_class] * PAIR_DECAY + earlier * earlier
-        self._products[age_class] = products
-        self._squares[age_class] = squares
+        products = self._products
+        squares = self._squares
+        products[age_class] = products[age_class] * PAIR_DECAY + earlier * later
+        squares[age_class] = squares[age_class] * PAIR_DECAY + earlier * earlier
+        self._variance += VARIANCE_WEIGHT * (later * later - self._variance)
+        self._pairs_until_update -= 1
+        if self._pairs_until_update == 0:
+            self._update()
+
+    def _update(self) -> None:
+        self._pairs_until_update = PAIRS_PER_UPDATE
+        self._variance = max(self._min_variance, self._variance)
         prior = PRIOR_PAIRS * self._variance
-        weight = (products + prior * self._prior_weights[age_class]) / (squares + prior)
-        weight = min(max(0.0, weight), 1.0)
-        self.weights[age_class] = weight
-        self.spreads[age_class] = self._compute_spread(weight)
+        for age_class in range(UPDATED_CLASSES):
+            products = self._products[age_class]
+            products += prior * self._prior_weights[age_class]
+            weight = products / (self._squares[age_class] + prior)
+            weight = min(max(0.0, weight), 1.0)
+            self.weights[age_class] = weight
+            self.spreads[age_class] = self._compute_spread(weight)
 
     def _compute_spread(self, weight: float) -> float:
-        return math.sqrt(self._variance * (1.0 - weight * weight))
+        return UNIFORM_WIDTH * math.sqrt(self._variance * (1.0 - weight * weight))
--- a/src/skylarkcart/load/_upstream.py
+++ b/src/skylarkcart/load/_upstream.py
@@ -35,13 +35,15 @@
 MAX_PACE = 4.0
 
 # What a report that contradicts the call's end leaves of the trust in the upstream's
-# reports, and the part of the lost trust that each other report restores.
+# reports, and the trust that each other report restores.
 TRUST_AFTER_REFUSAL = 0.5
 TRUST_AFTER_QUICK_CALL = 0.8
-TRUST_RESTORED = 0.1
+TRUST_RESTORED = 0.02
 
-# A uniform distribution with a standard deviation of 1 has this width.
-UNIFORM_WIDTH = 12.0**0.5
+# Stated calls for each slot, and a stated work factor, count up to these bounds, so
+# that one absurd report doesn't rule the means.
+MAX_CALLS_PER_SLOT = 8
+MAX_COUNTED_FACTOR = 20.0
 
 
 class ServiceLoad:
@@ -120,36 +122,42 @@
         ``is_refusal`` holds if the upstream refused the call for lack of room,
         ``is_contradicted`` if the call's end doesn't fit the report.
         """
+        service = self._service
         self._update_trust(report, is_refusal, is_contradicted)
-        stated = report.running + report.waiting
-        self._record_expected(stated, own_calls, now)
-        self.slots = report.slots
-        calls = float(max(0, stated - own_calls))
-        if is_refusal:
-            calls = max(calls, float(report.slots - own_calls))
-        calls += (1.0 - self.trust) * (self._service.mean_calls - calls)
-        factor = 1.0 if report.work_factor is None else report.work_factor
+        slots = report.slots
+        stated = min(report.running + report.waiting, MAX_CALLS_PER_SLOT * slots)
         age_ms = now - self.reported_at
-        calls_deviation = calls - self._mean_calls
-        factor_deviation = factor - self._mean_factor
-        service = self._service
+        self._record_error(stated, own_calls, now, age_ms)
+        self.slots = slots
+        calls = stated - own_calls
+        if calls < 0:
+            calls = 0
+        if is_refusal:
+            calls = max(calls, slots - own_calls)
+        if self.trust < 1.0:
+            calls += (1.0 - self.trust) * (service.mean_calls - calls)
+        factor = report.work_factor or 1.0
+        if factor > MAX_COUNTED_FACTOR:
+            factor = MAX_COUNTED_FACTOR
+        calls_change = calls - self._mean_calls
+        factor_change = factor - self._mean_factor
         if self.has_report and age_ms >= 0.0:
-            self._regression.record(
-                self._calls_deviation, calls_deviation, age_ms=age_ms
-            )
-            service.factor.record(
-                self._factor_deviation, factor_deviation, age_ms=age_ms
-            )
+            self._regression.record(self._calls_deviation, calls_change, age_ms=age_ms)
+            service.factor.record(self._factor_deviation, factor_change, age_ms=age_ms)
         service.record(calls=calls, factor=factor, trust=self.trust)
-        service.record_queue(report, is_refusal=is_refusal)
-        is_queued = is_refusal or report.waiting > 0
-        self._regression = service.queued_calls if is_queued else service.calls
+        if is_refusal or report.waiting > 0:
+            service.record_queue(report, is_refusal=is_refusal)
+            self._regression = service.queued_calls
+        else:
+            self._regression = service.calls
         self._reports += 1
-        weight = max(UPSTREAM_MEAN_WEIGHT, 1.0 / (self._reports + 1.0))
-        self._mean_calls += weight * calls_deviation
-        self._mean_factor += weight * factor_deviation
-        self._calls_deviation = calls - self._mean_calls
-        self._factor_deviation = factor - self._mean_factor
+        weight = 1.0 / (self._reports + 1.0)
+        if weight < UPSTREAM_MEAN_WEIGHT:
+            weight = UPSTREAM_MEAN_WEIGHT
+        self._mean_calls += weight * calls_change
+        self._mean_factor += weight * factor_change
+        self._calls_deviation = (1.0 - weight) * calls_change
+        self._factor_deviation = (1.0 - weight) * factor_change
         self.reported_at = now
         self.has_report = True
 
@@ -167,17 +175,29 @@
         others = self._get_mean_calls(age_ms) + weight * self._calls_deviation
         return own_calls + max(0.0, others)
 
-    def draw_calls(self, now: Millis, own_calls: int, random: random.Random) -> float:
-        """Returns a draw from the distribution of the calls that are there now."""
+    def draw(
+        self, now: Millis, own_calls: int, random: random.Random
+    ) -> tuple[float, float]:
+        """Returns a draw of the calls that are there now, and the slowness.
+
+        The calls are drawn from their distribution for now, with own ones included.
+        """
         age_ms = now - self.reported_at
-        regression = self._regression
         age_class = int(age_ms).bit_length()
+        regression = self._regression
+        mean = self._mean_calls
+        if age_ms > NEWS_MAX_AGE_MS:
+            mean = self._get_mean_calls(age_ms)
         others = (
-            self._get_mean_calls(age_ms)
+            mean
             + regression.weights[age_class] * self._calls_deviation
-            + regression.spreads[age_class] * UNIFORM_WIDTH * (random.random() - 0.5)
+            + regression.spreads[age_class] * (random.random() - 0.5)
+        )
+        factor = self._mean_factor + (
+            self._service.factor.weights[age_class] * self._factor_deviation
         )
-        return own_calls + others if others > 0.0 else own_calls
+        calls = own_calls + others if others > 0.0 else own_calls
+        return calls, self._pace * factor
 
     def get_slowness(self, now: Millis) -> float:
         """Returns the expected time of work there now, relative to its typical time."""
@@ -185,14 +205,6 @@
         factor = self._mean_factor + weight * self._factor_deviation
         return self._pace * factor
 
-    @property
-    def room(self) -> float:
-        """The calls that may run and wait there, as far as known."""
-        return self.slots + self._service.queue_limit
-
-    def has_free_slot(self, now: Millis, own_calls: int) -> bool:
-        return self.expect_calls(now, own_calls) + 1.0 <= self.slots
-
     def _get_mean_calls(self, age_ms: float) -> float:
         if age_ms <= NEWS_MAX_AGE_MS:
             return self._mean_calls
@@ -208,13 +220,16 @@
         elif is_contradicted:
             self.trust *= TRUST_AFTER_QUICK_CALL
         else:
-            self.trust += TRUST_RESTORED * (1.0 - self.trust)
+            if self.trust < 1.0:
+                self.trust = min(1.0, self.trust + TRUST_RESTORED)
             return
         self._service.statistics.contradictions += 1
 
-    def _record_expected(self, stated: int, own_calls: int, now: Millis) -> None:
+    def _record_error(
+        self, stated: int, own_calls: int, now: Millis, age_ms: float
+    ) -> None:
         self.last_expected = self.expect_calls(now, own_calls)
-        self.last_age_ms = now - self.reported_at
+        self.last_age_ms = age_ms
         statistics = self._service.statistics
         statistics.reports += 1
         statistics.error_calls += abs(self.last_expected - stated)
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -46,6 +46,9 @@
 INITIAL_BACKOFF_MS = 200.0
 MAX_BACKOFF_MS = 3_000.0
 
+# Duration in which the calls to an upstream that returns grow to its share.
+RETURN_RAMP_MS = 1_000.0
+
 # Consecutive failures after which an upstream is treated as unreachable.
 UNREACHABLE_AFTER_FAILURES = 2
 
@@ -104,8 +107,8 @@
         # Set once an upstream of its service has stated a work factor.
         self.load: UpstreamLoad | None = None
         self._service_load = service_load or ServiceLoad()
-        # When it came into use again after others of its service were in use.
-        self.returned_at = Millis(float("-inf"))
+        # It returned to the upstreams in use, and gets only a part of the calls.
+        self.ramps_until = Millis(float("-inf"))
         # No further call may be sent to it.
         self.is_retired = False
         # The upstream has asked for no calls until then.
@@ -171,6 +174,10 @@
         else:
             self._record_failure(end, now)
 
+    def begin_ramp(self, start: Millis) -> None:
+        """Records that it returns to the upstreams in use at that time."""
+        self.ramps_until = Millis(start + RETURN_RAMP_MS)
+
     def record_load(
         self,
         load: ReportedLoad,
@@ -210,7 +217,11 @@
 
     def is_backed_off(self, now: Millis) -> bool:
         """Whether it is in backoff after a failure, or is unreachable."""
-        return now < self._backoff_until or self.is_unreachable(now)
+        return (
+            now < self._backoff_until
+            or self._consecutive_failures >= UNREACHABLE_AFTER_FAILURES
+            or self._zone_reachability.is_unreachable(now)
+        )
 
     def is_unreachable(self, now: Millis) -> bool:
         """Whether its zone is unreachable, or its calls failed repeatedly.
@@ -249,7 +260,7 @@
         """Records that a connection succeeded after failures."""
         self._zone_reachability.record_contact(now)
         if self._has_repeated_failures:
-            self.returned_at = now
+            self.begin_ramp(now)
         self._consecutive_failures = 0
         self._backoff_until = now
 
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -3,33 +3,24 @@
 from __future__ import annotations
 
 import collections
-import enum
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from skylarkcart.clock import Millis
-from skylarkcart.load import LoadStatistics, ServiceLoad, ServiceRoom, compute_room
+from skylarkcart.load import LoadStatistics, ServiceRoom, compute_room
 from skylarkcart.published import RegisteredUpstream, UpstreamState
-from skylarkcart.replicas._even_choice import (
-    MAX_USABLE_COST,
-    OTHER_ZONE_PRICE,
-    ServiceOrder,
-    estimate_time,
+from skylarkcart.replicas._cost import (
+    CONNECTION_LIMIT_COST_FACTOR,
+    OTHER_ZONE_COST_FACTOR,
+    Access,
+    add_penalties,
 )
+from skylarkcart.replicas._even_choice import EvenChoice, RefusedCall
 from skylarkcart.replicas._notices import UpstreamNotices
 from skylarkcart.replicas._replica import Replica, SlowSample
 from skylarkcart.replicas._zone_reach import ZoneReachability
 from skylarkcart.types import ServiceId, SlowCall, UpstreamId, ZoneId
 
-# Factors on the expected latency of a call. A call to another zone takes an inter-zone
-# round trip and its traffic is billed. The other factors rank, in increasing order, the
-# upstreams that are used only if no better one is left.
-OTHER_ZONE_COST_FACTOR = 2.0
-COLD_COST_FACTOR = 1.6
-CONNECTION_LIMIT_COST_FACTOR = 10.0
-STALLED_COST_FACTOR = 20.0
-BACKOFF_COST_FACTOR = 100.0
-
 # Minimum cost of opening a connection, as a fraction of a typical call: connections are
 # billed and may occupy a slot, even if they open fast.
 MIN_CONNECT_COST = 0.2
@@ -48,17 +39,6 @@
 SLOW_CALL_REPORT_WINDOW_MS = 1_000.0
 MAX_REPORTED_SLOW_CALLS = 10
 
-# Lower success ratios are raised to this value, which bounds the cost.
-MIN_SUCCESS_RATIO = 0.05
-
-
-class Access(enum.Enum):
-    """How a call would reach an upstream."""
-
-    CONNECTED = "connected"
-    UNCONNECTED = "unconnected"
-    AT_CONNECTION_LIMIT = "full"
-
 
 class Replicas:
     """The upstreams that may get calls, by service."""
@@ -72,10 +52,7 @@
         # Calls per second that this instance may make to each cold upstream of a
         # service. Services without an entry have no such limit.
         self.cold_calls_per_s: dict[ServiceId, float] = {}
-        self.load_statistics = LoadStatistics()
-        self._service_loads: dict[ServiceId, ServiceLoad] = {}
-        # Of the services whose upstreams state a work factor, since the last update.
-        self._orders: dict[ServiceId, ServiceOrder] = {}
+        self._even_choice = EvenChoice(zone=zone, random=random)
         self._connect_times_ms: dict[ServiceId, float] = {}
         self._zone_reachability: collections.defaultdict[ZoneId, ZoneReachability] = (
             collections.defaultdict(ZoneReachability)
@@ -106,9 +83,7 @@
         for upstream, replica in self.replicas.items():
             service = replica.entry.service
             self._by_service.setdefault(service, {})[upstream] = replica
-        self._orders.clear()
-        for service in self._service_loads.keys() - self._by_service.keys():
-            del self._service_loads[service]
+        self._even_choice.update(self._by_service)
         return dropped
 
     def record_leaving(self, replica: Replica) -> bool:
@@ -122,6 +97,7 @@
     def record_pause(self, replica: Replica, pause_ms: float, now: Millis) -> None:
         """Records that an upstream's process wants no calls for a time."""
         replica.paused_until = self._notices.record_pause(replica.entry, pause_ms, now)
+        replica.begin_ramp(replica.paused_until)
 
     def get_available_at(self, service: ServiceId, now: Millis) -> Millis | None:
         """Returns when the pause of some upstream of a service has ended.
@@ -143,6 +119,20 @@
     def list_replicas(self, service: ServiceId) -> tuple[Replica, ...]:
         return tuple(self._by_service.get(service, {}).values())
 
+    @property
+    def load_statistics(self) -> LoadStatistics:
+        return self._even_choice.statistics
+
+    def record_refusal(
+        self, replica: Replica, *, has_report: bool, now: Millis
+    ) -> RefusedCall | None:
+        """Returns why an upstream was chosen that has refused the call.
+
+        ``has_report`` holds if the refusal stated the load. Returns None if the
+        service's upstreams state no work factor.
+        """
+        return self._even_choice.record_refusal(replica, has_report=has_report, now=now)
+
     def get_room(
         self, service: ServiceId, *, now: Millis, typical_ms: float
     ) -> ServiceRoom | None:
@@ -182,15 +172,14 @@
         by a draw from the estimate of their load.
         """
         connect_cost = self._get_connect_cost(service, typical_ms)
-        load = self._service_loads.get(service)
-        if load is not None and load.is_reported:
-            return self._select_evenly(
+        if self._even_choice.applies_to(service):
+            return self._even_choice.select(
                 service,
-                load,
                 now=now,
-                connect_cost=connect_cost,
                 tried=tried,
+                may_call=self._may_call,
                 get_access=get_access,
+                connect_cost=connect_cost,
             )
         best: Replica | None = None
         best_cost = float("inf")
@@ -307,13 +296,6 @@
             return True
         return replica.may_call_cold(now, calls_per_s=rate)
 
-    def _get_service_load(self, service: ServiceId) -> ServiceLoad:
-        load = self._service_loads.get(service)
-        if load is None:
-            load = ServiceLoad(statistics=self.load_statistics)
-            self._service_loads[service] = load
-        return load
-
     def _update_replica(self, upstream: UpstreamId, known: RegisteredUpstream) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
@@ -323,10 +305,10 @@
                 entry=known.entry,
                 seen_at=known.first_seen_at,
                 zone_reachability=self._zone_reachability[known.entry.zone],
-                service_load=self._get_service_load(known.entry.service),
+                service_load=self._even_choice.get_load(known.entry.service),
             )
             if known.entry.service in self._by_service:
-                replica.returned_at = known.first_seen_at
+                replica.begin_ramp(known.first_seen_at)
             replica.paused_until = self._notices.get_pause_end(known.entry)
             self.replicas[upstream] = replica
             return
@@ -339,63 +321,4 @@
         )
         is_remote = replica.entry.zone != self._zone
         zone_factor = OTHER_ZONE_COST_FACTOR if is_remote else 1.0
-        return _add_penalties(cost, replica, now, zone_factor=zone_factor)
-
-    def _select_evenly(
-        self,
-        service: ServiceId,
-        load: ServiceLoad,
-        *,
-        now: Millis,
-        connect_cost: float,
-        tried: Collection[UpstreamId],
-        get_access: Callable[[Replica], Access],
-    ) -> Replica | None:
-        """Returns the best of some upstreams, by draws from what is known of them."""
-        order = self._orders.get(service)
-        if order is None:
-            replicas = self._by_service.get(service, {}).values()
-            order = ServiceOrder(replicas, zone=self._zone, random=self._random)
-            self._orders[service] = order
-        best: Replica | None = None
-        best_cost = float("inf")
-        compared = 0
-        for replicas, limit in order.list_groups():
-            for replica in replicas:
-                if compared >= limit:
-                    break
-                entry = replica.entry
-                if entry.upstream in tried or not replica.accepts_calls(now):
-                    continue
-                if not self._may_call(replica, now):
-                    continue
-                cost = estimate_time(replica, load, now, self._random)
-                if entry.zone != self._zone:
-                    cost += OTHER_ZONE_PRICE
-                cost = _add_penalties(cost, replica, now)
-                match get_access(replica):
-                    case Access.UNCONNECTED:
-                        cost += connect_cost
-                    case Access.AT_CONNECTION_LIMIT:
-                        cost *= CONNECTION_LIMIT_COST_FACTOR
-                if cost < best_cost:
-                    best, best_cost = replica, cost
-                compared += cost < MAX_USABLE_COST
-        return best
-
-
-def _add_penalties(
-    cost: float, replica: Replica, now: Millis, *, zone_factor: float = 1.0
-) -> float:
-    """Returns the cost of an upstream that may fail, stall or be cold."""
-    failure_ratio = replica.get_failure_ratio(now)
-    if failure_ratio:
-        cost /= max(MIN_SUCCESS_RATIO, 1.0 - failure_ratio) ** 2
-    cost *= zone_factor
-    if replica.is_cold(now):
-        cost *= COLD_COST_FACTOR
-    if replica.in_flight and replica.is_stalled(now):
-        cost *= STALLED_COST_FACTOR
-    if replica.is_backed_off(now):
-        cost *= BACKOFF_COST_FACTOR
-    return cost
+        return add_penalties(cost, replica, now, zone_factor=zone_factor)
--- a/src/skylarkcart/replicas/_zone_reach.py
+++ b/src/skylarkcart/replicas/_zone_reach.py
@@ -32,7 +32,10 @@
         return len(self._unresponsive_upstreams) >= MIN_UNRESPONSIVE_UPSTREAMS
 
     def is_unreachable(self, now: Millis) -> bool:
-        return self.is_locally_unreachable or now < self._peer_report_expires_at
+        return (
+            len(self._unresponsive_upstreams) >= MIN_UNRESPONSIVE_UPSTREAMS
+            or now < self._peer_report_expires_at
+        )
 
     def record_contact(self, now: Millis) -> None:
         """Records a response or a new connection."""
