--- a/src/skylarkcart/load/_regression.py
+++ b/src/skylarkcart/load/_regression.py
@@ -8,7 +8,7 @@
 AGE_CLASSES = 64
 
 # Pairs of reports that the prior counts for, in each class.
-PRIOR_PAIRS = 8.0
+PRIOR_PAIRS = 30.0
 
 # Factor on the sums of a class for each further pair, so that the latest hundred count.
 PAIR_DECAY = 0.99
--- a/src/skylarkcart/load/_upstream.py
+++ b/src/skylarkcart/load/_upstream.py
@@ -36,8 +36,7 @@
 
 # What a report that contradicts the call's end leaves of the trust in the upstream's
 # reports, and the trust that each other report restores.
-TRUST_AFTER_REFUSAL = 0.5
-TRUST_AFTER_QUICK_CALL = 0.8
+TRUST_AFTER_CONTRADICTION = 0.5
 TRUST_RESTORED = 0.02
 
 # Stated calls for each slot, and a stated work factor, count up to these bounds, so
@@ -68,13 +67,13 @@
         self.queue_limit = float("inf")
         self.mean_calls = 0.0
         self.mean_factor = 1.0
+        self._reports = 0
 
     def record(self, *, calls: float, factor: float, trust: float) -> None:
         """Updates the means with a report's calls of others and work factor."""
-        if not self.is_reported:
-            self.is_reported = True
-            self.mean_calls = calls * trust
-        weight = SERVICE_MEAN_WEIGHT * trust
+        self.is_reported = True
+        self._reports += 1
+        weight = trust * max(SERVICE_MEAN_WEIGHT, 1.0 / (self._reports + 1.0))
         self.mean_calls += weight * (calls - self.mean_calls)
         self.mean_factor += weight * (factor - self.mean_factor)
 
@@ -215,15 +214,12 @@
     def _update_trust(
         self, report: ReportedLoad, is_refusal: bool, is_contradicted: bool
     ) -> None:
-        if is_refusal and report.running + report.waiting < report.slots:
-            self.trust *= TRUST_AFTER_REFUSAL
-        elif is_contradicted:
-            self.trust *= TRUST_AFTER_QUICK_CALL
-        else:
-            if self.trust < 1.0:
-                self.trust = min(1.0, self.trust + TRUST_RESTORED)
-            return
-        self._service.statistics.contradictions += 1
+        hides_queue = is_refusal and report.running + report.waiting < report.slots
+        if hides_queue or is_contradicted:
+            self.trust *= TRUST_AFTER_CONTRADICTION
+            self._service.statistics.contradictions += 1
+        elif self.trust < 1.0:
+            self.trust = min(1.0, self.trust + TRUST_RESTORED)
 
     def _record_error(
         self, stated: int, own_calls: int, now: Millis, age_ms: float
--- a/src/skylarkcart/replicas/_cost.py
+++ b/src/skylarkcart/replicas/_cost.py
@@ -16,6 +16,9 @@
 STALLED_COST_FACTOR = 20.0
 BACKOFF_COST_FACTOR = 100.0
 
+# Random fraction added to each cost, so that instances don't all select the same one.
+COST_JITTER = 0.1
+
 # Lower success ratios are raised to this value, which bounds the cost.
 MIN_SUCCESS_RATIO = 0.05
 
--- a/src/skylarkcart/replicas/_even_choice.py
+++ b/src/skylarkcart/replicas/_even_choice.py
@@ -11,6 +11,7 @@
 from skylarkcart.load import LoadStatistics, ServiceLoad, UpstreamLoad
 from skylarkcart.replicas._cost import (
     CONNECTION_LIMIT_COST_FACTOR,
+    COST_JITTER,
     Access,
     add_penalties,
 )
@@ -20,7 +21,7 @@
 # A call at an upstream with all slots in use is expected to cost this many typical
 # calls more than at an idle one. The cost grows with the fourth power of the
 # utilization, so that a few calls don't outweigh an open connection or the own zone.
-LOAD_COST = 3.0
+LOAD_COST = 5.0
 
 # Bounds the cost of an upstream that states an absurd queue, so that it still gets
 # calls when its siblings are loaded.
@@ -191,6 +192,7 @@
         best: Replica | None = None
         best_cost = float("inf")
         compared = 0
+        draw = self._random.random
         for is_remote in (False, True):
             replicas = order.list_others() if is_remote else order.list_own()
             limit = MAX_COMPARED if is_remote else order.own_limit
@@ -205,6 +207,7 @@
                 if is_remote:
                     cost += OTHER_ZONE_PRICE
                 cost = add_penalties(cost, replica, now)
+                cost *= 1.0 + COST_JITTER * draw()
                 access = get_access(replica)
                 if access is Access.UNCONNECTED:
                     cost += connect_cost
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -11,6 +11,7 @@
 from skylarkcart.published import RegisteredUpstream, UpstreamState
 from skylarkcart.replicas._cost import (
     CONNECTION_LIMIT_COST_FACTOR,
+    COST_JITTER,
     OTHER_ZONE_COST_FACTOR,
     Access,
     add_penalties,
@@ -28,9 +29,6 @@
 # Weight of one connection in the exponential moving average of the connect time.
 CONNECT_TIME_WEIGHT = 0.2
 
-# Random fraction added to each cost, so that instances don't all select the same one.
-COST_JITTER = 0.1
-
 # Connection attempts per round of probes, in total and to each unreachable zone.
 MAX_PROBES = 24
 MAX_PROBES_PER_UNREACHABLE_ZONE = 3
