--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -22,6 +22,7 @@
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.fleet import UNKNOWN_RATE, Fleet
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
+from skylarkcart.gateway._load_reports import LoadCollector
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
 from skylarkcart.gateway._preconnect import Preconnector
@@ -77,6 +78,9 @@
 # Latency assumed before the first call of a route, as a fraction of its target latency.
 INITIAL_LATENCY_FRACTION = 0.3
 
+# An upstream that states its load in error does so in each response.
+MAX_NOTICE_LINES_PER_SECOND = 2
+
 # Innermost stack frames in the log line of an unexpected error.
 MAX_LOGGED_FRAMES = 4
 
@@ -108,6 +112,9 @@
         self.drain: DrainSchedule | None = None
         self.registry = Registry(on_event=self._record_event)
         self.replicas = Replicas(zone=settings.zone, random=random)
+        self.metrics.registry.register(
+            LoadCollector(get_statistics=lambda: self.replicas.load_statistics)
+        )
         self.quotas = Quotas(
             initial_fill_fraction=(
                 1.0 if settings.is_first_start else INITIAL_FILL_FRACTION
@@ -506,6 +513,15 @@
             loop.call_soon(self.apply_published_state)
         if response.has_invalid_pause:
             self.metrics.upstream_notices.labels("invalid_pause").inc()
+        if response.invalid_load is not None:
+            self.metrics.upstream_notices.labels("invalid_load").inc()
+            self.log.write(
+                "load_unreadable",
+                level=Level.WARNING,
+                limit=MAX_NOTICE_LINES_PER_SECOND,
+                upstream=upstream,
+                value=repr(response.invalid_load),
+            )
         if response.pause_ms is not None:
             self.metrics.upstream_notices.labels("pause").inc()
             self.replicas.record_pause(replica, response.pause_ms, self.now)
--- a/src/skylarkcart/replicas/_replica.py
+++ b/src/skylarkcart/replicas/_replica.py
@@ -11,6 +11,7 @@
 from skylarkcart.backoff import compute_backoff_ms
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
+from skylarkcart.load import ServiceLoad, UpstreamLoad
 from skylarkcart.published import UpstreamEntry
 from skylarkcart.replicas._zone_reach import ZoneReachability
 
@@ -45,6 +46,9 @@
 INITIAL_BACKOFF_MS = 200.0
 MAX_BACKOFF_MS = 3_000.0
 
+# Duration in which the calls to an upstream that returns grow to its share.
+RETURN_RAMP_MS = 1_000.0
+
 # Consecutive failures after which an upstream is treated as unreachable.
 UNREACHABLE_AFTER_FAILURES = 2
 
@@ -97,8 +101,14 @@
         entry: UpstreamEntry,
         seen_at: Millis,
         zone_reachability: ZoneReachability | None = None,
+        service_load: ServiceLoad | None = None,
     ) -> None:
         self.entry = entry
+        # Set once an upstream of its service has stated a work factor.
+        self.load: UpstreamLoad | None = None
+        self._service_load = service_load or ServiceLoad()
+        # It returned to the upstreams in use, and gets only a part of the calls.
+        self.ramps_until = Millis(float("-inf"))
         # No further call may be sent to it.
         self.is_retired = False
         # The upstream has asked for no calls until then.
@@ -152,9 +162,9 @@
             return
         started_at, typical_ms = started_call
         if load is not None:
-            self._load_report = load
-            self._load_report_at = now
-            self._in_flight_at_load_report = len(self.in_flight)
+            self.record_load(
+                load, now=now, end=end, latency_ratio=(now - started_at) / typical_ms
+            )
         if end is CallEnd.ANSWERED:
             self._record_latency(started_at, typical_ms, now)
             self._record_success(now)
@@ -164,13 +174,54 @@
         else:
             self._record_failure(end, now)
 
+    def begin_ramp(self, start: Millis) -> None:
+        """Records that it returns to the upstreams in use at that time."""
+        self.ramps_until = Millis(start + RETURN_RAMP_MS)
+
+    def record_load(
+        self,
+        load: ReportedLoad,
+        *,
+        now: Millis,
+        end: CallEnd | None = None,
+        latency_ratio: float = 1.0,
+    ) -> None:
+        """Records the load that it reports, with the end of a call or without one."""
+        self._load_report = load
+        self._load_report_at = now
+        self._in_flight_at_load_report = len(self.in_flight)
+        if self.load is None:
+            if load.work_factor is None:
+                return
+            self.load = UpstreamLoad(
+                service=self._service_load, now=now, slots=load.slots
+            )
+        # The report of a call that was run includes it.
+        is_refusal = end is CallEnd.SHED
+        has_run = end is not None and not is_refusal
+        own_calls = len(self.in_flight) + has_run
+        is_quick = end is CallEnd.ANSWERED and latency_ratio <= 1.0
+        self.load.record(
+            load,
+            now=now,
+            own_calls=own_calls,
+            is_refusal=is_refusal,
+            is_contradicted=is_quick and load.waiting >= load.slots,
+        )
+        if end is CallEnd.ANSWERED and load.running + load.waiting <= load.slots:
+            self.load.record_pace(latency_ratio / (load.work_factor or 1.0))
+
     def accepts_calls(self, now: Millis) -> bool:
         """Whether a call may be sent to it, or wait for a connection to it."""
         return not self.is_retired and now >= self.paused_until
 
     def is_backed_off(self, now: Millis) -> bool:
         """Whether it is in backoff after a failure, or is unreachable."""
-        return now < self._backoff_until or self.is_unreachable(now)
+        return (
+            now < self._backoff_until
+            or self._consecutive_failures >= UNREACHABLE_AFTER_FAILURES
+            or self._zone_reachability.is_unreachable(now)
+        )
 
     def is_unreachable(self, now: Millis) -> bool:
         """Whether its zone is unreachable, or its calls failed repeatedly.
@@ -208,6 +259,8 @@
     def record_connection(self, now: Millis) -> None:
         """Records that a connection succeeded after failures."""
         self._zone_reachability.record_contact(now)
+        if self._has_repeated_failures:
+            self.begin_ramp(now)
         self._consecutive_failures = 0
         self._backoff_until = now
 
