--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -6,6 +6,7 @@
 import base64
 import json
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 Headers = dict[str, str]
@@ -100,11 +101,23 @@
             writer.close()
 
 
+class StoreCopy(NamedTuple):
+    """A copy of the store's content, from which it can be restored."""
+
+    revision: int
+    items: dict[str, tuple[int, bytes]]
+    events: list[dict]
+
+
 class StoreStandin(HttpStandin):
-    """A store of items with revisions that supports range reads and watches."""
+    """A store of items with revisions that supports range reads and watches.
+
+    All responses state the ``era`` unless it is None.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self.era: object | None = None
         self.revision = 0
         self.items: dict[str, tuple[int, bytes]] = {}
         self.events: list[dict] = []
@@ -123,9 +136,31 @@
         del self.items[key]
         await self._add({"key": key, "revision": self.revision, "tombstone": True})
 
+    def take_copy(self) -> StoreCopy:
+        return StoreCopy(self.revision, dict(self.items), list(self.events))
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Replaces the content by a copy and starts the next era.
+
+        Later changes get revisions that have been given out before.
+        """
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.era = 1 + (self.era or 0)
+        self.revision = copy.revision
+        self.items, self.events = dict(copy.items), list(copy.events)
+        async with self._changed:
+            self._changed.notify_all()
+
     async def handle(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> Response | None:
+        response = await self._answer(target)
+        if self.era is not None:
+            response[1]["Store-Era"] = str(self.era)
+        return response
+
+    async def _answer(self, target: str) -> Response:
         self.calls += 1
         if self.is_unavailable:
             return 503, {}, b""
@@ -134,6 +169,8 @@
         if parts.path == "/kv-range":
             return self._respond(self._build_page(query.get("after", "")))
         after = int(query["after"])
+        if after > self.revision:
+            return 410, {}, b""
         wait_s = int(query["waitMs"]) / 1_000
         try:
             async with asyncio.timeout(wait_s), self._changed:
--- a/tests/incidents/scenario.py
+++ b/tests/incidents/scenario.py
@@ -10,7 +10,7 @@
 import asyncio
 import pathlib
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -101,17 +101,23 @@
 class FleetScenario:
     """Runs the fleet, the store, its writers and the operators' requests."""
 
-    def __init__(self, *, folder: pathlib.Path, source: pathlib.Path = SOURCE) -> None:
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        source: pathlib.Path = SOURCE,
+        zones: Mapping[str, int] = ZONES,
+    ) -> None:
         placements = [
             Placement(
                 name=f"front-{zone}-{number}",
                 host=f"127.240.{block}.{number}",
                 zone=zone,
             )
-            for block, (zone, count) in enumerate(ZONES.items(), start=1)
+            for block, (zone, count) in enumerate(zones.items(), start=1)
             for number in range(1, count + 1)
         ]
-        self._gateways = GatewayProcesses(
+        self.gateways = GatewayProcesses(
             placements=placements,
             seeds=[placement for placement in placements if placement.host[-1] == "1"],
             folder=folder,
@@ -122,7 +128,7 @@
             UpstreamStandin(
                 upstream=f"{service}-{number}",
                 service=service,
-                zone=list(ZONES)[number % len(ZONES)],
+                zone=list(zones)[number % len(zones)],
             )
             for service in SERVICES
             for number in range(REPLICAS_PER_SERVICE)
@@ -136,13 +142,16 @@
         for upstream in self._upstreams:
             await upstream.start()
             await self.store.put(f"servers/{upstream.upstream}", upstream.describe())
-        for number in range(len(self._gateways.placements)):
-            self._gateways.start(number, store_port=self.store.port, is_first=True)
+        for number in range(len(self.gateways.placements)):
+            self.gateways.start(number, store_port=self.store.port, is_first=True)
         self._renewal = asyncio.get_running_loop().create_task(self._renew_entries())
+        for placement in self.gateways.placements:
+            await self.wait_until_ready(placement)
+
+    async def wait_until_ready(self, placement: Placement) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
-            for placement in self._gateways.placements:
-                while not await _is_ready(placement.host):
-                    await asyncio.sleep(0.2)
+            while not await _is_ready(placement.host):
+                await asyncio.sleep(0.2)
 
     async def add_route(self, prefix: str) -> float:
         """Publishes a configuration with an added route; returns when it was stored."""
@@ -158,7 +167,7 @@
         """Asks each instance for the route in bursts."""
         for delay_s in BURST_DELAYS_S:
             await asyncio.sleep(max(0.0, changed_at + delay_s - time.monotonic()))
-            for placement in self._gateways.placements:
+            for placement in self.gateways.placements:
                 await self._send_burst(placement, prefix, changed_at)
 
     def finish(self, *, changed_at: float) -> Outcome:
@@ -166,15 +175,15 @@
             changed_at_ms=changed_at * 1_000.0,
             answers=tuple(self._answers),
             logs={
-                placement.name: self._gateways.read_log(number)
-                for number, placement in enumerate(self._gateways.placements)
+                placement.name: self.gateways.read_log(number)
+                for number, placement in enumerate(self.gateways.placements)
             },
         )
 
     async def stop(self) -> None:
         if self._renewal is not None:
             self._renewal.cancel()
-        self._gateways.kill_all()
+        self.gateways.kill_all()
         for standin in (self.store, *self._upstreams):
             standin.stop()
         # Lets the connections of the stand-ins close before the event loop does.
@@ -197,7 +206,7 @@
         for _ in range(REQUESTS_PER_BURST):
             sent_after_s = time.monotonic() - changed_at
             request = f"{placement.name}-{len(self._answers)}"
-            status = await _request(placement.host, f"/{prefix}/x", request)
+            status = await send_request(placement.host, f"/{prefix}/x", request)
             self._answers.append(
                 Answer(
                     instance=placement.name, sent_after_s=sent_after_s, status=status
@@ -232,7 +241,7 @@
         await scenario.stop()
 
 
-async def _request(host: str, target: str, request: str) -> int:
+async def send_request(host: str, target: str, request: str) -> int:
     """Sends a request on a connection of its own and returns the status."""
     try:
         async with Caller(host=host, port=FRONT_PORT) as caller:
