Order published state by the era of the store and its revision

A store that is restored from a copy gives revisions out again, so that the highest revision is not the newest state: each full read was ignored and the store was read no more. State is now ordered by era and revision in the registry, in reports and transfers and at the reader; what callers have seen is kept beside the store's state for a bound.

--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -14,7 +14,16 @@
 from skylarkcart.fleet._peer import Peer
 from skylarkcart.fleet._reach import Reach, compute_reach
 from skylarkcart.fleet._report import UNKNOWN_RATE, Member, Report
-from skylarkcart.types import AccountId, InstanceId, SlowCall, Spending, ZoneId
+from skylarkcart.types import (
+    NO_ERA,
+    AccountId,
+    Era,
+    InstanceId,
+    SlowCall,
+    Spending,
+    StatePosition,
+    ZoneId,
+)
 
 REPORT_INTERVAL_MS = 200.0
 
@@ -76,6 +85,7 @@
     slow_calls: tuple[SlowCall, ...] = ()
     lost_zones: tuple[ZoneId, ...] = ()
     requests_per_s: float = UNKNOWN_RATE
+    era: Era = NO_ERA
 
 
 class Fleet:
@@ -181,6 +191,7 @@
             slow_calls=own.slow_calls,
             lost_zones=own.lost_zones,
             requests_per_s=own.requests_per_s,
+            era=own.era,
         )
         return Report(
             sender=sender,
@@ -227,13 +238,19 @@
         return requests_per_s / total
 
     def is_reader(
-        self, now: Millis, *, state_age_ms: float, reaches_store: bool
+        self,
+        now: Millis,
+        *,
+        state_age_ms: float,
+        reaches_store: bool,
+        era: Era = NO_ERA,
     ) -> bool:
         """Whether this instance reads the store.
 
         The readers are the first, in the order of a hash, of the responsive instances
         that reach the store. If the published state is too old, or no instance is known
-        to reach the store, every instance reads it.
+        to reach the store, every instance reads it. In a known ``era``, peers whose
+        state is of none don't read for this instance: their build states no era.
         """
         if state_age_ms > MAX_STATE_AGE_MS:
             return True
@@ -241,7 +258,9 @@
         candidates += [
             (peer.member.instance, peer.member.zone)
             for peer in self._list_responsive_peers(now)
-            if peer.member.reaches_store and not peer.member.is_leaving
+            if peer.member.reaches_store
+            and not peer.member.is_leaving
+            and (era == NO_ERA or not peer.has_state_without_era)
         ]
         if not candidates:
             return True
@@ -284,16 +303,20 @@
             for peer in self._list_responsive_peers(now)
         )
 
-    def list_peers_ahead(self, revision: int, now: Millis) -> tuple[Member, ...]:
+    def list_peers_ahead(
+        self, position: StatePosition, now: Millis
+    ) -> tuple[Member, ...]:
         """Returns the peers with newer published state, those of this zone first."""
         ahead = [
             peer.member
             for peer in self._list_responsive_peers(now)
-            if peer.member.revision > revision
+            if peer.member.position > position
             and now >= peer.lacks_stated_state_until
             and now - peer.last_contact_at <= GOSSIP_UNRESPONSIVE_AFTER_MS
         ]
-        ahead.sort(key=lambda member: (member.zone != self._zone, -member.revision))
+        ahead.sort(key=lambda member: member.position, reverse=True)
+        # The sort is stable.
+        ahead.sort(key=lambda member: member.zone != self._zone)
         return tuple(ahead)
 
     def record_missing_state(self, instance: InstanceId, now: Millis) -> None:
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -11,11 +11,14 @@
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.types import (
     MAX_NUMBER,
+    NO_ERA,
     AccountId,
     Count,
+    Era,
     InstanceId,
     SlowCall,
     Spending,
+    StatePosition,
     ZoneId,
 )
 
@@ -33,7 +36,8 @@
     ``sequence`` increases with each description of an incarnation. ``reaches_store`` is
     False if its last call to the store failed. ``lost_zones`` are the zones whose
     upstreams it can't reach. ``requests_per_s`` is its recent rate of requests,
-    negative if it has not counted them for long enough.
+    negative if it has not counted them for long enough. ``era`` is the one of
+    ``revision``; an instance that doesn't state it, or knows none, precedes all eras.
     """
 
     instance: Annotated[InstanceId, _NOT_EMPTY]
@@ -51,6 +55,11 @@
     requests_per_s: Annotated[float, msgspec.Meta(ge=UNKNOWN_RATE, le=MAX_NUMBER)] = (
         UNKNOWN_RATE
     )
+    era: Annotated[Era, msgspec.Meta(ge=NO_ERA, le=2**63 - 1)] = NO_ERA
+
+    @property
+    def position(self) -> StatePosition:
+        return StatePosition(self.era, self.revision)
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/src/skylarkcart/gateway/_completion.py
+++ b/src/skylarkcart/gateway/_completion.py
@@ -123,6 +123,7 @@
             route=self.route_name,
             elapsed_ms=round(elapsed_ms, 1),
             time_left_ms=self.request.time_left_ms,
+            state_era=core.registry.era,
             state_revision=core.registry.revision,
             state_age_ms=round(min(1e9, core.registry.get_age_ms(core.now))),
             configuration_version=core.configuration_version,
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -31,7 +31,7 @@
 from skylarkcart.lifecycle import DrainSchedule, Lifecycle
 from skylarkcart.published import CallerLimits, Configuration, Route
 from skylarkcart.quotas import INITIAL_FILL_FRACTION, Quotas
-from skylarkcart.registry import Registry, RegistryEvent
+from skylarkcart.registry import Registry, RegistryEvent, build_retention_bounds
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
 from skylarkcart.routing import RouteTable, list_services
 from skylarkcart.supervision import RestartPolicy
@@ -106,7 +106,10 @@
         self.metrics = GatewayMetrics()
         self.lifecycle = Lifecycle(linger_ms=DRAIN_LINGER_MS, quiet_ms=DRAIN_QUIET_MS)
         self.drain: DrainSchedule | None = None
-        self.registry = Registry(on_event=self._record_event)
+        self.registry = Registry(
+            on_event=self._record_event,
+            retention=build_retention_bounds(settings.bounds),
+        )
         self.replicas = Replicas(zone=settings.zone, random=random)
         self.quotas = Quotas(
             initial_fill_fraction=(
@@ -541,6 +544,7 @@
             event.name,
             subject=event.subject,
             detail=event.detail,
+            era=self.registry.era,
             revision=self.registry.revision,
         )
 
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -190,6 +190,7 @@
         self._update_readiness(core.find_unready_reason(now), now)
         core.metrics.state_age.set(core.registry.get_age_ms(now) / 1000.0)
         core.metrics.state_revision.set(core.registry.revision)
+        core.metrics.state_era.set(core.registry.era)
         core.metrics.configuration_version.set(core.configuration_version)
 
     def _update_readiness(self, reason: str | None, now: Millis) -> None:
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -86,6 +86,11 @@
             "Revision of the published state",
             registry=registry,
         )
+        self.state_era = Gauge(
+            "skylarkcart_gateway_state_era",
+            "Era of the store that the published state is of, -1 if none is known",
+            registry=registry,
+        )
         self.configuration_version = Gauge(
             "skylarkcart_gateway_configuration_version",
             "Version of the configuration in force",
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -11,12 +11,14 @@
 from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.fleet import (
     REPORT_INTERVAL_MS,
+    Member,
     OwnState,
     Report,
     decode_report,
     encode_report,
 )
 from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._position import encode_position, read_position
 from skylarkcart.gateway._usage_exchange import UsageExchange
 from skylarkcart.registry import Published
 from skylarkcart.types import InstanceId
@@ -109,6 +111,7 @@
         core = self._core
         age_ms = core.registry.get_age_ms(now)
         return OwnState(
+            era=core.registry.era,
             revision=core.registry.revision,
             confirmed_age_ms=-1.0 if age_ms == float("inf") else age_ms,
             is_leaving=core.lifecycle.is_draining,
@@ -134,10 +137,12 @@
                 and member.age_ms <= MAX_UNREACHABLE_ZONES_AGE_MS
             ):
                 core.replicas.apply_peer_unreachable_zones(member.lost_zones, now=now)
-        revision = report.sender.revision
-        if revision > core.registry.revision:
-            if core.fleet.list_peers_ahead(core.registry.revision, now):
+        if report.sender.position > core.registry.position:
+            if core.fleet.list_peers_ahead(core.registry.position, now):
                 self.peer_is_ahead.set()
+        elif report.sender.era != core.registry.era:
+            # The store may have lost what the peer confirms.
+            pass
         elif report.echo_ms >= 0 and report.confirmed_age_ms >= 0:
             # At the confirmed time, there was no change after the peer's revision, and
             # this instance has all changes up to it. The peer built its report after
@@ -188,8 +193,8 @@
 class StateTransfer:
     """Serves published state to peers and fetches newer state from them.
 
-    The client sends its revision as 8 bytes. The server responds with its state in
-    MessagePack, or with nothing if its revision is not newer.
+    The server responds with its state in MessagePack, or with nothing if its state is
+    not newer than the position that the client sends.
     """
 
     def __init__(self, *, core: Core, peer_link: PeerLink) -> None:
@@ -202,11 +207,11 @@
         """Handles one connection of a peer."""
         try:
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                revision = int.from_bytes(await reader.readexactly(8))
                 registry = self._core.registry
-                if revision < registry.revision:
+                known = await read_position(reader, default_era=registry.era)
+                if known < registry.position:
                     published = registry.build_published(
-                        since=revision, now=self._core.now
+                        since=known.revision, era=known.era, now=self._core.now
                     )
                     writer.write(msgspec.msgpack.encode(published))
                     await writer.drain()
@@ -225,11 +230,11 @@
 
     async def _fetch(self) -> None:
         core = self._core
-        for peer in core.fleet.list_peers_ahead(core.registry.revision, core.now)[:2]:
+        for peer in core.fleet.list_peers_ahead(core.registry.position, core.now)[:2]:
             requested_at = core.now
             try:
                 async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                    published = await self._request_state(peer.host)
+                    published = await self._request_state(peer)
             except (OSError, TimeoutError, InvalidValueError) as error:
                 core.log.write(
                     "state_not_fetched", peer=peer.instance, detail=repr(error)
@@ -238,7 +243,10 @@
             if published is not None and core.registry.adopt(published, core.now):
                 core.registry.confirm_adopted(published, requested_at=requested_at)
                 core.log.write(
-                    "state_fetched", peer=peer.instance, revision=published.revision
+                    "state_fetched",
+                    peer=peer.instance,
+                    era=published.era,
+                    revision=published.revision,
                 )
                 core.apply_published_state()
                 return
@@ -246,16 +254,20 @@
             core.log_warning(
                 "peer_has_no_newer_state",
                 peer=peer.instance,
+                stated_era=peer.era,
                 stated_revision=peer.revision,
+                era=core.registry.era,
                 revision=core.registry.revision,
             )
 
-    async def _request_state(self, host: str) -> Published | None:
+    async def _request_state(self, peer: Member) -> Published | None:
         reader, writer = await asyncio.open_connection(
-            host, self._core.settings.peer_port
+            peer.host, self._core.settings.peer_port
         )
         try:
-            writer.write(self._core.registry.revision.to_bytes(8))
+            writer.write(
+                encode_position(self._core.registry.position, receiver_era=peer.era)
+            )
             data = await _read_to_end(reader)
         finally:
             writer.close()
--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -8,9 +8,11 @@
 from skylarkcart.clock import Millis
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.gateway._core import Core
+from skylarkcart.gateway._era_check import EraCheck
 from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.platform._store_items import decode_items
-from skylarkcart.registry import Change
+from skylarkcart.registry import Change, StatePosition
+from skylarkcart.types import NO_ERA, Era
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -51,13 +53,21 @@
 READER_CHECK_INTERVAL_MS = 200.0
 
 
+# The position of an instance that knows nothing.
+START = StatePosition(NO_ERA, 0)
+
+
 class StoreReader:
     """Keeps the registry up to date while this instance is a reader."""
 
     def __init__(self, *, core: Core) -> None:
         self._core = core
         self._store = StoreClient(address=core.settings.platform_address)
-        self._needs_snapshot = True
+        self._era_check = EraCheck(core=core)
+        # Where changes can't be had; with a later state of a peer, they can.
+        self._history_lost_at: StatePosition | None = None
+        # Times in a row that the history was lost, without a watch in between.
+        self._losses = 0
         self._failures = 0
         self._failed_at = core.now
         self._is_reachable: bool | None = None
@@ -90,8 +100,6 @@
             await asyncio.sleep(PEER_POLL_INTERVAL_MS / 1000.0)
         while core.now < deadline and core.registry.confirmed_at is None:
             await asyncio.sleep(PEER_POLL_INTERVAL_MS / 1000.0)
-        # State that a peer transferred needs no snapshot; a watch can continue from it.
-        self._needs_snapshot = core.registry.revision == 0
 
     def _is_restart_of_all(self) -> bool:
         """Whether all instances that were heard have just started, too."""
@@ -99,7 +107,7 @@
         return (
             not core.settings.is_first_start
             and bool(core.fleet.peers)
-            and not core.fleet.list_peers_ahead(0, core.now)
+            and not core.fleet.list_peers_ahead(START, core.now)
         )
 
     async def _run_step(self) -> None:
@@ -110,19 +118,17 @@
             self._restore_reader_eligibility(now)
             await asyncio.sleep(READER_CHECK_INTERVAL_MS / 1000.0)
             return
-        read_revision = core.registry.revision
+        position = core.registry.position
         try:
             await self._read()
         except HistoryLostError as error:
-            self._needs_snapshot = True
-            core.log_warning("store_history_lost", detail=str(error))
-            core.metrics.store_calls.labels("history_lost").inc()
+            await self._handle_lost_history(error, position)
         except StoreError as error:
             await self._handle_failure(error)
         except Exception as error:
             error.add_note(
-                f"read after revision {read_revision} for {core.now - now:.0f} ms, "
-                f"state {age_ms:.0f} ms old"
+                f"read after revision {position.revision} of era {position.era} for "
+                f"{core.now - now:.0f} ms, state {age_ms:.0f} ms old"
             )
             raise
         else:
@@ -131,12 +137,16 @@
     def _is_reader(self, now: Millis, age_ms: float) -> bool:
         core = self._core
         return core.fleet.is_reader(
-            now, state_age_ms=age_ms, reaches_store=core.reaches_store
+            now,
+            state_age_ms=age_ms,
+            reaches_store=core.reaches_store,
+            era=core.registry.era,
         )
 
     async def _read(self) -> None:
         core = self._core
-        if self._needs_snapshot or core.registry.revision == 0:
+        # State that a peer transferred needs no full read; a watch continues from it.
+        if core.registry.position in (self._history_lost_at, START):
             has_changed = await self._read_whole_state()
         else:
             has_changed = await self._watch_changes()
@@ -147,6 +157,7 @@
     async def _read_whole_state(self) -> bool:
         """Reads all items and returns whether there are any."""
         core = self._core
+        known = era = core.registry.era
         read_at = started_at = core.now
         changes: list[Change] = []
         async for page in self._store.read_pages(
@@ -154,31 +165,58 @@
         ):
             self._record_response("range", started_at)
             changes += decode_items(page.items, on_error=self._log_unreadable)
+            era = max(era, self._era_check.resolve(page.era, known=known))
             revision = page.revision
             started_at = core.now
-        core.registry.apply_snapshot(changes, revision=revision, now=core.now)
-        self._needs_snapshot = False
-        core.registry.confirm(read_at)
+        core.registry.apply_snapshot(changes, revision=revision, era=era, now=core.now)
+        self._history_lost_at = None
+        self._confirm(read_at, era)
         return bool(changes)
 
     async def _watch_changes(self) -> bool:
         """Waits for changes and returns whether there are any."""
         core = self._core
         started_at = core.now
+        position = core.registry.position
         page = await self._store.watch(
             ALL_KEYS_PREFIX,
-            after_revision=core.registry.revision,
+            after_revision=position.revision,
             wait_ms=WATCH_WAIT_MS,
             timeout_ms=RESPONSE_TIMEOUT_MS,
         )
         self._record_response("watch", started_at)
+        self._era_check.check_unchanged(page.era, known=position.era)
+        self._losses = 0
         changes = decode_items(page.items, on_error=self._log_unreadable)
-        core.registry.apply_changes(changes, revision=page.revision, now=core.now)
+        core.registry.apply_changes(
+            changes, revision=page.revision, era=position.era, now=core.now
+        )
         # Without changes, the store responds only after the requested wait.
         waited_ms = 0.0 if page.items else WATCH_WAIT_MS
-        core.registry.confirm(Millis(min(core.now, started_at + waited_ms)))
+        confirmed_at = Millis(min(core.now, started_at + waited_ms))
+        self._confirm(confirmed_at, position.era)
         return bool(changes)
 
+    def _confirm(self, at: Millis, era: Era) -> None:
+        """Confirms the state, unless a peer has passed on state of a later era."""
+        if era == self._core.registry.era:
+            self._core.registry.confirm(at)
+
+    async def _handle_lost_history(
+        self, error: HistoryLostError, position: StatePosition
+    ) -> None:
+        """Prepares a full read; if the last one was of no use, with a delay."""
+        core = self._core
+        self._history_lost_at = position
+        self._losses += 1
+        core.log_warning("store_history_lost", detail=str(error))
+        core.metrics.store_calls.labels("history_lost").inc()
+        if self._losses > 1:
+            backoff_ms = compute_backoff_ms(
+                self._losses - 1, initial_ms=INITIAL_BACKOFF_MS, max_ms=MAX_BACKOFF_MS
+            )
+            await asyncio.sleep(backoff_ms * core.random.uniform(0.5, 1.0) / 1000.0)
+
     def _record_response(self, operation: str, started_at: Millis) -> None:
         core = self._core
         core.registry.record_store_response(core.now)
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -15,6 +15,11 @@
     its revocation. In any period of ``extra_calls_window_ms``, the fleet may send a
     service ``extra_calls_ratio`` extra calls for each request, plus
     ``extra_calls_slack``.
+
+    Writers that were cut off from the store have caught up after ``catch_up_ms``. A
+    configuration is in force after ``configuration_ms``, an evacuation after
+    ``evacuation_ms`` and the drain of an upstream after ``upstream_drain_ms``; while
+    the store is not stable, the first two may take ``unstable_store_ms`` longer.
     """
 
     shutdown_grace_ms: float
@@ -22,6 +27,11 @@
     extra_calls_ratio: float
     extra_calls_window_ms: float
     extra_calls_slack: float
+    catch_up_ms: float = 4_000.0
+    configuration_ms: float = 3_000.0
+    evacuation_ms: float = 5_000.0
+    upstream_drain_ms: float = 3_000.0
+    unstable_store_ms: float = 12_000.0
 
 
 class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/skylarkcart/platform/_machine.py
+++ b/src/skylarkcart/platform/_machine.py
@@ -39,6 +39,11 @@
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     retry_budget_slack: float = 50.0
+    catch_up_s: float = 4.0
+    config_apply_ms: float = 3_000.0
+    evacuate_ms: float = 5_000.0
+    drain_ms: float = 3_000.0
+    max_stretch_ms: float = 12_000.0
 
 
 class _Limits(_Section, frozen=True):
@@ -129,4 +134,9 @@
         extra_calls_ratio=bounds.retry_budget_ratio,
         extra_calls_window_ms=bounds.budget_window_s * MILLISECONDS_PER_SECOND,
         extra_calls_slack=bounds.retry_budget_slack,
+        catch_up_ms=bounds.catch_up_s * MILLISECONDS_PER_SECOND,
+        configuration_ms=bounds.config_apply_ms,
+        evacuation_ms=bounds.evacuate_ms,
+        upstream_drain_ms=bounds.drain_ms,
+        unstable_store_ms=bounds.max_stretch_ms,
     )
--- a/src/skylarkcart/platform/_names.py
+++ b/src/skylarkcart/platform/_names.py
@@ -30,6 +30,9 @@
 CLOSED_ZONE_PREFIX = "op/evacuate/"
 UPSTREAM_PREFIX = "servers/"
 
+# In all responses of the store.
+ERA = b"store-era"
+
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
 READINESS_PATH = b"/ready"
--- a/src/skylarkcart/platform/_store.py
+++ b/src/skylarkcart/platform/_store.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from skylarkcart.errors import DECODING_ERRORS, SkylarkcartError
-from skylarkcart.platform._names import RANGE_PATH, WATCH_PATH
+from skylarkcart.platform._names import ERA, RANGE_PATH, WATCH_PATH
+from skylarkcart.platform._store_era import NOT_STATED, StatedEra, decode_era
 from skylarkcart.published import Address, StoredItem
 
 # A response holds about 1 MB of items; changes of several seconds may take more.
@@ -39,11 +40,16 @@
     """
 
 
+class EraChangedError(HistoryLostError):
+    """The pages of a full read are of different eras of the store."""
+
+
 class StorePage(msgspec.Struct, frozen=True, kw_only=True):
-    """Items and the store's revision at the time of the response."""
+    """Items and the store's revision and era at the time of the response."""
 
     items: tuple[StoredItem, ...]
     revision: int
+    era: StatedEra = NOT_STATED
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -81,16 +87,26 @@
         Each page is requested when the one before has been used, so that the items of
         one page are held at most. All have the revision of the first one: a watch from
         there also returns the changes made while later pages were read.
+
+        Raises:
+            EraChangedError: a page states another era than one before.
         """
         first_revision: int | None = None
+        stated = NOT_STATED
         query: dict[str, Any] = {"prefix": prefix}
         while True:
-            page = await self._get(RANGE_PATH, query, timeout_ms, _Range)
+            page, era = await self._get(RANGE_PATH, query, timeout_ms, _Range)
+            if era.era is not None:
+                if stated.era not in (None, era.era):
+                    raise EraChangedError(
+                        f"pages of a full read are of the eras {stated.era}, {era.era}"
+                    )
+                stated = era
             if first_revision is None:
                 first_revision = page.as_of
             last_key = page.items[-1].key if page.items else ""
             items = tuple(_convert_item(item) for item in page.items)
-            yield StorePage(items=items, revision=first_revision)
+            yield StorePage(items=items, revision=first_revision, era=era)
             if not page.has_more or not page.items:
                 return
             if last_key <= query.get("after", ""):
@@ -111,13 +127,13 @@
         """
         query = {"prefix": prefix, "after": after_revision, "waitMs": int(wait_ms)}
         try:
-            page = await self._get(WATCH_PATH, query, timeout_ms + wait_ms, _Watch)
+            page, era = await self._get(WATCH_PATH, query, timeout_ms + wait_ms, _Watch)
         except ResponseTooLargeError as error:
             raise HistoryLostError(
                 f"changes after revision {after_revision}: {error}"
             ) from error
         items = tuple(_convert_item(item) for item in page.events)
-        return StorePage(items=items, revision=page.as_of)
+        return StorePage(items=items, revision=page.as_of, era=era)
 
     def close(self) -> None:
         if self._protocol is not None:
@@ -126,7 +142,7 @@
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout_ms: float, response_type: type
-    ) -> Any:
+    ) -> tuple[Any, StatedEra]:
         """Sends a request; ``timeout_ms`` is the longest time without a byte."""
         self.request_count += 1
         loop = asyncio.get_running_loop()
@@ -137,7 +153,7 @@
                 def extend_timeout() -> None:
                     timeout.reschedule(min(latest, loop.time() + timeout_ms / 1000.0))
 
-                status, body = await self._exchange(
+                status, body, era = await self._exchange(
                     f"{path}?{urlencode(query)}", on_data=extend_timeout
                 )
         except (OSError, TimeoutError) as error:
@@ -150,14 +166,14 @@
         if status != 200:
             raise StoreError(f"{path} returned status {status}, expected 200")
         try:
-            return msgspec.json.decode(body, type=response_type)
+            return msgspec.json.decode(body, type=response_type), era
         except DECODING_ERRORS as error:
             self.close()
             raise StoreError(f"{path} returned a malformed body: {error}") from error
 
     async def _exchange(
         self, target: str, *, on_data: Callable[[], None]
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, StatedEra]:
         if self._protocol is None or self._protocol.is_closed:
             loop = asyncio.get_running_loop()
             _, self._protocol = await loop.create_connection(
@@ -173,20 +189,22 @@
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
-        self._response: asyncio.Future[tuple[int, bytes]] | None = None
+        self._response: asyncio.Future[tuple[int, bytes, StatedEra]] | None = None
         self._on_data: Callable[[], None] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._eras: list[bytes] = []
         self._received_bytes = 0
         self.is_closed = False
 
     async def get(
         self, target: str, *, host: str, on_data: Callable[[], None]
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, StatedEra]:
         """Sends a request; ``on_data`` is called while its response arrives."""
         self._response = asyncio.get_running_loop().create_future()
         self._on_data = on_data
         self._body.clear()
+        self._eras.clear()
         self._received_bytes = 0
         head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
         self._transport.write(head.encode())
@@ -226,6 +244,10 @@
         self.abort()
         self.connection_lost(error)
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == ERA:
+            self._eras.append(value)
+
     def on_body(self, body: bytes) -> None:
         self._body += body
 
@@ -236,7 +258,13 @@
         if not self._parser.should_keep_alive():
             self.is_closed = True
             self._transport.close()
-        self._response.set_result((self._parser.get_status_code(), bytes(self._body)))
+        self._response.set_result(
+            (
+                self._parser.get_status_code(),
+                bytes(self._body),
+                decode_era(self._eras),
+            )
+        )
 
 
 def _convert_item(item: _Item) -> StoredItem:
--- a/src/skylarkcart/registry/_messages.py
+++ b/src/skylarkcart/registry/_messages.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
 from skylarkcart.published import Configuration, UpstreamEntry
-from skylarkcart.types import UpstreamId, ZoneId
+from skylarkcart.types import NO_ERA, Era, StatePosition, UpstreamId, ZoneId
 
 
 class ItemKind(enum.Enum):
@@ -77,6 +78,32 @@
     left_ms: float
 
 
+class KeptConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+    """A configuration that stays in force for ``left_ms`` after its era has ended."""
+
+    configuration: Configuration
+    left_ms: float
+
+
+class KeptZone(msgspec.Struct, frozen=True, kw_only=True):
+    """An availability zone that stays closed for ``left_ms``, though its era ended."""
+
+    zone: ZoneId
+    left_ms: float
+
+
+class Departure(msgspec.Struct, frozen=True, kw_only=True):
+    """An upstream whose processes that started up to ``born_ms`` have left.
+
+    Without ``born_ms``, all have. They get no new calls for ``left_ms``; if that is
+    negative, the departure is of the store's current era.
+    """
+
+    upstream: UpstreamId
+    born_ms: int | None
+    left_ms: float
+
+
 class Published(msgspec.Struct, frozen=True, kw_only=True):
     """Published state, as transferred between instances.
 
@@ -84,6 +111,9 @@
     changes after the revision ``since``, and ``configuration`` is None if unchanged.
     ``closed_zones`` are always all closed zones. ``confirmed_age_ms`` is the time since
     the sender last knew the state to be current, negative if it never did.
+
+    Revisions are those of an ``era`` of the store. The whole state also carries what
+    the sender keeps from earlier eras, which the store may have lost.
     """
 
     since: int
@@ -95,6 +125,14 @@
     removals: tuple[Removal, ...]
     lapsed: tuple[LapsedEntry, ...]
     confirmed_age_ms: float = -1.0
+    era: Annotated[Era, msgspec.Meta(ge=NO_ERA, le=2**63 - 1)] = NO_ERA
+    kept_configuration: KeptConfiguration | None = None
+    kept_zones: tuple[KeptZone, ...] = ()
+    departures: tuple[Departure, ...] = ()
+
+    @property
+    def position(self) -> StatePosition:
+        return StatePosition(self.era, self.revision)
 
 
 class RegistryEvent(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -1,9 +1,13 @@
-"""Published state, ordered by store revision, and the time of its confirmation.
+"""Published state, ordered by era and revision, and the time of its confirmation.
 
 A change is applied only if it is newer than the whole state and than what is known of
 its key, whichever way it arrives: from a full read, a watch or another instance. The
 state at a revision includes all changes up to it, so that a result which arrives late
 never undoes a newer change.
+
+Revisions are compared within an era of the store. Whole state of a later era replaces
+the state as a whole; state of an earlier era, and changes of another era, are ignored.
+What is kept from earlier eras lies beside the state of the store.
 """
 
 from __future__ import annotations
@@ -12,22 +16,24 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.published import Configuration, RegisteredUpstream, UpstreamEntry
+from skylarkcart.registry._closed_zones import ClosedZones
+from skylarkcart.registry._configuration import ConfigurationInForce
 from skylarkcart.registry._messages import (
-    CONFIGURATION_KEY,
     Change,
     ClosedZone,
     ItemKey,
     ItemKind,
-    LapsedEntry,
     Published,
     PublishedEntry,
     RegistryEvent,
     Removal,
     build_upstream_key,
-    build_zone_key,
 )
 from skylarkcart.registry._outages import LAPSED_ENTRY_GRACE_MS, StoreOutages
-from skylarkcart.types import UpstreamId, ZoneId
+from skylarkcart.registry._retention import RetentionBounds
+from skylarkcart.registry._transfer import list_changes
+from skylarkcart.registry._upstreams import UpstreamEntries
+from skylarkcart.types import NO_ERA, Era, StatePosition, UpstreamId, ZoneId
 
 # Removals kept for partial transfers. Instances with an older revision get the whole
 # state.
@@ -41,35 +47,57 @@
     """The latest known published state, from the store or from other instances.
 
     ``confirmed_at`` is the latest time at which the state is known to have been
-    current. The version of the configuration never decreases. ``upstreams`` holds the
-    entries in the store and those that lapsed during an outage of the store and may be
-    restored.
+    current. The version of the configuration never decreases within an era.
+    ``upstreams`` holds the entries in the store and those that lapsed during an outage
+    of the store and may be restored; those of processes that left in an earlier era
+    are draining.
     """
 
-    def __init__(self, *, on_event: Callable[[RegistryEvent], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_event: Callable[[RegistryEvent], None],
+        retention: RetentionBounds,
+    ) -> None:
         self._event_handler = on_event
+        self._retention = retention
         # Revisions of the items that exist.
         self._revisions: dict[ItemKey, int] = {}
-        self._entries: dict[UpstreamId, RegisteredUpstream] = {}
-        self._lapsed: dict[UpstreamId, tuple[RegisteredUpstream, Millis]] = {}
+        self._upstreams = UpstreamEntries(on_event=on_event)
         # Revisions of the latest removals, oldest first.
         self._removals: dict[ItemKey, int] = {}
         # Removals up to this revision are no longer in the history.
         self._removal_history_start = 0
         self._outages = StoreOutages()
+        self.era = NO_ERA
         self.revision = 0
-        self._configuration_revision = 0
-        self.configuration: Configuration | None = None
-        self.closed_zones: set[ZoneId] = set()
+        self._configuration = ConfigurationInForce(on_event=on_event)
+        self._closed_zones = ClosedZones(on_event=on_event)
         self.confirmed_at: Millis | None = None
 
+    @property
+    def position(self) -> StatePosition:
+        return StatePosition(self.era, self.revision)
+
+    @property
+    def configuration(self) -> Configuration | None:
+        return self._configuration.current
+
+    @property
+    def closed_zones(self) -> set[ZoneId]:
+        return self._closed_zones.all
+
     @property
     def upstreams(self) -> dict[UpstreamId, RegisteredUpstream]:
-        lapsed = {upstream: known for upstream, (known, _) in self._lapsed.items()}
-        return lapsed | self._entries
+        return self._upstreams.all
 
     def apply_snapshot(
-        self, changes: Iterable[Change], *, revision: int, now: Millis
+        self,
+        changes: Iterable[Change],
+        *,
+        revision: int,
+        now: Millis,
+        era: Era = NO_ERA,
     ) -> None:
         """Replaces the state with the result of a full read.
 
@@ -77,14 +105,17 @@
         A read that is not newer than the known state is ignored: while its pages
         arrived, another instance has passed on a later state.
         """
-        if revision <= self.revision:
+        if StatePosition(era, revision) <= self.position:
             self._emit_event(
                 "full_read_ignored",
-                revision,
-                f"the state is known at revision {self.revision}",
+                f"{era}:{revision}",
+                f"the state is known at revision {self.revision} of era {self.era}",
             )
             return
+        earlier = self._begin_era(era, now)
         grace_end = self._outages.get_grace_end(now)
+        if era != NO_ERA and earlier:
+            grace_end = max(grace_end, Millis(now + LAPSED_ENTRY_GRACE_MS))
         present = set()
         for change in changes:
             if change.value is not None:
@@ -94,11 +125,24 @@
             self._apply_change(change, now, grace_end=grace_end)
         self.revision = revision
         self._clear_removals()
+        self._compare_eras(earlier, now)
 
     def apply_changes(
-        self, changes: Iterable[Change], *, revision: int, now: Millis
+        self,
+        changes: Iterable[Change],
+        *,
+        revision: int,
+        now: Millis,
+        era: Era = NO_ERA,
     ) -> None:
-        """Applies the changes that a watch returned."""
+        """Applies the changes that a watch returned, if the state is of their era."""
+        if era != self.era:
+            self._emit_event(
+                "changes_ignored",
+                f"{era}:{revision}",
+                f"the state is known at revision {self.revision} of era {self.era}",
+            )
+            return
         grace_end = self._outages.get_grace_end(now)
         for change in changes:
             self._apply_change(change, now, grace_end=grace_end)
@@ -107,54 +151,95 @@
     def adopt(self, published: Published, now: Millis) -> bool:
         """Applies the state of another instance and returns True if it is newer.
 
-        A partial state is applied only if it starts at or before the own revision. Of
-        the entries that it doesn't hold, only those lapsed that it lists as such: the
-        sender knows whether the store was unavailable when they were removed.
+        A partial state is applied only if it starts at or before the own revision of
+        the same era. Of the entries that it doesn't hold, only those lapsed that it
+        lists as such: the sender knows whether the store was unavailable when they were
+        removed. If an era begins, entries lapse that it doesn't list as departed.
         """
-        if published.revision <= self.revision or published.since > self.revision:
+        if published.position <= self.position:
             return False
+        is_same_era = published.era == self.era
+        if published.since and not (is_same_era and published.since <= self.revision):
+            return False
+        is_first = not is_same_era or self.revision == 0
+        earlier = self._begin_era(published.era, now)
+        departed = {departure.upstream for departure in published.departures}
+        lapse_end = Millis(now + LAPSED_ENTRY_GRACE_MS) if earlier else now
         for change in self._list_adopted_changes(published):
-            self._apply_change(change, now, grace_end=now)
+            grace_end = now if change.key.name in departed else lapse_end
+            self._apply_change(change, now, grace_end=grace_end)
         for lapsed in published.lapsed:
-            self._adopt_lapsed_entry(lapsed, now)
+            self._upstreams.adopt_lapsed(lapsed, now)
         self.revision = published.revision
         if published.since == 0:
             self._clear_removals()
+        if is_first:
+            self._adopt_kept(published, now)
+        self._compare_eras(earlier, now)
         return True
 
-    def _list_adopted_changes(self, published: Published) -> list[Change]:
-        changes = [
-            Change(
-                key=build_upstream_key(known.entry.upstream),
-                revision=known.revision,
-                value=known.entry,
-            )
-            for known in published.upstreams
-        ]
-        changes += [
-            Change(
-                key=build_zone_key(zone),
-                revision=published.revision,
-                value=ClosedZone(zone=zone),
+    def _begin_era(self, era: Era, now: Millis) -> dict[UpstreamId, RegisteredUpstream]:
+        """Prepares for whole state of a later era and returns the upstreams known.
+
+        Does nothing within an era. Revisions of the era before are forgotten, since the
+        store gives them out again.
+        """
+        if era == self.era:
+            return {}
+        if self.revision:
+            self._emit_event(
+                "store_era_began",
+                era,
+                f"the state was known at revision {self.revision} of era {self.era}",
             )
-            for zone in published.closed_zones
-        ]
-        present = {change.key for change in changes}
+        bounds = self._retention
+        earlier = self._upstreams.begin_era(
+            now, withheld_until=Millis(now + bounds.departure_ms)
+        )
+        self._configuration.begin_era(Millis(now + bounds.configuration_ms))
+        self._closed_zones.begin_era(Millis(now + bounds.closed_zone_ms))
+        self._revisions = {
+            key: 0 for key in self._revisions if key.kind is ItemKind.UPSTREAM
+        }
+        self._removals.clear()
+        self._removal_history_start = self.revision = 0
+        self.era = era
+        return earlier
+
+    def _compare_eras(
+        self, earlier: dict[UpstreamId, RegisteredUpstream], now: Millis
+    ) -> None:
+        """Compares the state of a new era with what was known before."""
+        if earlier:
+            withheld_until = Millis(now + self._retention.departure_ms)
+            self._upstreams.compare_eras(earlier, now, withheld_until=withheld_until)
+            self._closed_zones.log_kept(now)
+
+    def _adopt_kept(self, published: Published, now: Millis) -> None:
+        """Takes over what a peer keeps from earlier eras.
+
+        Only the first state of an era brings it: a peer that learned of the era later
+        must not renew what has expired here.
+        """
+        bounds = self._retention
+        kept = published.kept_configuration
+        if kept is not None and kept.left_ms > 0:
+            left_ms = min(kept.left_ms, bounds.configuration_ms)
+            self._configuration.keep(kept.configuration, Millis(now + left_ms))
+        for zone in published.kept_zones:
+            if zone.left_ms > 0:
+                left_ms = min(zone.left_ms, bounds.closed_zone_ms)
+                self._closed_zones.keep(zone, Millis(now + left_ms))
+        self._upstreams.departures.adopt(
+            published.departures, max_ms=bounds.departure_ms, now=now
+        )
+
+    def _list_adopted_changes(self, published: Published) -> list[Change]:
+        changes = list_changes(published)
+        present = {change.key for change in changes if change.value is not None}
         # The closed zones are complete also in a partial state.
         complete = {ItemKind.CLOSED_ZONE} if published.since else _REMOVABLE_KINDS
-        changes += self._list_missing(complete, present, published.revision)
-        changes += [
-            Change(key=removal.key, revision=removal.revision, value=None)
-            for removal in published.removals
-        ]
-        if published.configuration is not None:
-            configuration = Change(
-                key=CONFIGURATION_KEY,
-                revision=published.configuration_revision,
-                value=published.configuration,
-            )
-            changes.append(configuration)
-        return changes
+        return [*changes, *self._list_missing(complete, present, published.revision)]
 
     def _list_missing(
         self, kinds: Set[ItemKind], present: Set[ItemKey], revision: int
@@ -166,19 +251,6 @@
             if key.kind in kinds and key not in present
         ]
 
-    def _adopt_lapsed_entry(self, lapsed: LapsedEntry, now: Millis) -> None:
-        """Keeps an entry that lapsed at a peer for the time that is left to it.
-
-        No entry is kept longer than one that lapses here, and one whose time has passed
-        is not kept at all.
-        """
-        upstream = lapsed.entry.upstream
-        if upstream in self._entries or not lapsed.left_ms > 0:
-            return
-        registered = RegisteredUpstream(entry=lapsed.entry, first_seen_at=now)
-        left_ms = min(lapsed.left_ms, LAPSED_ENTRY_GRACE_MS)
-        self._lapsed.setdefault(upstream, (registered, Millis(now + left_ms)))
-
     def confirm(self, at: Millis) -> None:
         """Records that the state was current at a time.
 
@@ -196,7 +268,7 @@
         """
         age_ms = published.confirmed_age_ms
         # Also False for NaN and infinity.
-        if published.revision == self.revision and 0 <= age_ms < float("inf"):
+        if published.position == self.position and 0 <= age_ms < float("inf"):
             self.confirm(Millis(requested_at - age_ms))
 
     def record_store_outage(self, now: Millis) -> None:
@@ -208,44 +280,40 @@
         self._outages.record_response(now)
 
     def remove_expired(self, now: Millis) -> bool:
-        """Drops expired lapsed entries and returns whether there were any."""
-        expired = [
-            upstream
-            for upstream, (_, expires_at) in self._lapsed.items()
-            if expires_at <= now
+        """Drops what was kept until now and returns whether there was anything."""
+        results = [
+            part.remove_expired(now)
+            for part in (self._upstreams, self._closed_zones, self._configuration)
         ]
-        for upstream in expired:
-            del self._lapsed[upstream]
-            self._emit_event("upstream_gone", upstream, "lapsed and was not restored")
-        return bool(expired)
+        return any(results)
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Drops an upstream whose address is now used by another one."""
-        self._lapsed.pop(upstream, None)
-        if self._entries.pop(upstream, None) is not None:
-            self._emit_event(
-                "upstream_gone", upstream, "address is used by another upstream"
-            )
+        self._upstreams.drop(upstream)
 
     def get_age_ms(self, now: Millis) -> float:
         """Returns the time since the state was last known to be current."""
         return float("inf") if self.confirmed_at is None else now - self.confirmed_at
 
-    def build_published(self, *, since: int, now: Millis) -> Published:
-        """Returns the state that an instance at the revision ``since`` is missing."""
-        if since < self._removal_history_start:
+    def build_published(
+        self, *, since: int, now: Millis, era: Era = NO_ERA
+    ) -> Published:
+        """Returns the state that an instance at a revision of an era is missing."""
+        if era != self.era or since < self._removal_history_start:
             since = 0
+        configuration = self._configuration
+        is_whole = since == 0
         return Published(
             since=since,
             revision=self.revision,
-            configuration_revision=self._configuration_revision,
+            configuration_revision=configuration.revision,
             configuration=(
-                self.configuration if self._configuration_revision > since else None
+                configuration.stored if configuration.revision > since else None
             ),
-            closed_zones=tuple(self.closed_zones),
+            closed_zones=tuple(self._closed_zones.stored),
             upstreams=tuple(
                 PublishedEntry(revision=revision, entry=known.entry)
-                for upstream, known in self._entries.items()
+                for upstream, known in self._upstreams.stored.items()
                 if (revision := self._revisions[build_upstream_key(upstream)]) > since
             ),
             removals=tuple(
@@ -253,13 +321,16 @@
                 for key, revision in self._removals.items()
                 if revision > since > 0
             ),
-            lapsed=tuple(
-                LapsedEntry(entry=known.entry, left_ms=expires_at - now)
-                for known, expires_at in self._lapsed.values()
-            ),
+            lapsed=self._upstreams.list_lapsed(now),
             confirmed_age_ms=(
                 -1.0 if self.confirmed_at is None else self.get_age_ms(now)
             ),
+            era=self.era,
+            kept_configuration=configuration.get_kept(now) if is_whole else None,
+            kept_zones=self._closed_zones.list_kept(now) if is_whole else (),
+            departures=(
+                self._upstreams.departures.list_departures(now) if is_whole else ()
+            ),
         )
 
     def _apply_change(self, change: Change, now: Millis, *, grace_end: Millis) -> None:
@@ -275,12 +346,13 @@
         self._removals.pop(change.key, None)
         match change.value:
             case Configuration() as configuration:
-                self._configuration_revision = change.revision
-                self._adopt_configuration(configuration)
+                self._configuration.offer(
+                    configuration, revision=change.revision, now=now
+                )
             case UpstreamEntry() as entry:
-                self._put_upstream(entry, now)
+                self._upstreams.put(entry, now)
             case ClosedZone(zone=zone):
-                self._close_zone(zone)
+                self._closed_zones.close(zone)
 
     def _get_known_revision(self, key: ItemKey) -> int:
         """Returns the revision up to which all changes of a key are known."""
@@ -291,55 +363,9 @@
     def _apply_deletion(self, key: ItemKey, now: Millis, grace_end: Millis) -> None:
         match key.kind:
             case ItemKind.CLOSED_ZONE:
-                self._reopen_zone(ZoneId(key.name))
+                self._closed_zones.reopen(ZoneId(key.name))
             case ItemKind.UPSTREAM:
-                self._remove_upstream(UpstreamId(key.name), now, grace_end)
-
-    def _adopt_configuration(self, configuration: Configuration) -> None:
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
-            return
-        self.configuration = configuration
-        previous_version = "none" if current is None else str(current.version)
-        self._emit_event(
-            "configuration_adopted", configuration.version, f"after {previous_version}"
-        )
-
-    def _put_upstream(self, entry: UpstreamEntry, now: Millis) -> None:
-        self._lapsed.pop(entry.upstream, None)
-        known = self._entries.get(entry.upstream)
-        self._entries[entry.upstream] = RegisteredUpstream(
-            entry=entry, first_seen_at=now
-        )
-        if known is None or known.entry.state is not entry.state:
-            detail = f"{entry.state.value} for {entry.service} at {entry.address}"
-            self._emit_event("upstream_entry", entry.upstream, detail)
-
-    def _remove_upstream(
-        self, upstream: UpstreamId, now: Millis, grace_end: Millis
-    ) -> None:
-        known = self._entries.pop(upstream, None)
-        if known is None:
-            return
-        if now < grace_end:
-            self._lapsed[upstream] = (known, grace_end)
-            self._emit_event(
-                "upstream_lapsed",
-                upstream,
-                f"removed in {grace_end - now:.0f} ms unless restored",
-            )
-            return
-        self._emit_event("upstream_gone", upstream, "entry removed")
-
-    def _close_zone(self, zone: ZoneId) -> None:
-        if zone not in self.closed_zones:
-            self.closed_zones.add(zone)
-            self._emit_event("zone_closed", zone, f"revision {self.revision}")
-
-    def _reopen_zone(self, zone: ZoneId) -> None:
-        if zone in self.closed_zones:
-            self.closed_zones.remove(zone)
-            self._emit_event("zone_reopened", zone, f"revision {self.revision}")
+                self._upstreams.remove(UpstreamId(key.name), now, grace_end)
 
     def _record_removal(self, key: ItemKey, revision: int) -> None:
         self._removals.pop(key, None)
--- a/src/skylarkcart/types.py
+++ b/src/skylarkcart/types.py
@@ -18,6 +18,7 @@
 RequestId = NewType("RequestId", str)
 CallId = NewType("CallId", int)
 KeyId = NewType("KeyId", str)
+Era = NewType("Era", int)
 GrantId = NewType("GrantId", str)
 
 
@@ -29,6 +30,24 @@
 Ratio = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_NUMBER)]
 
 
+# Precedes all eras that the store states.
+NO_ERA = Era(-1)
+
+
+class StatePosition(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """How new published state is: the era of the store, then its revision.
+
+    The store starts a new era when it is restored from a copy, and gives revisions out
+    again. State of an era that isn't known precedes all other state.
+
+    >>> StatePosition(Era(1), 900) < StatePosition(Era(2), 300)
+    True
+    """
+
+    era: Era
+    revision: int
+
+
 class Role(enum.Enum):
     """Role of a process in the platform's instance list."""
 
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -19,11 +19,15 @@
     ClosedZone,
     Published,
     Registry,
+    RetentionBounds,
     build_upstream_key,
     build_zone_key,
 )
 from skylarkcart.types import ServiceId, UpstreamId, ZoneId
 
+RETENTION = RetentionBounds(
+    configuration_ms=19_000.0, closed_zone_ms=21_000.0, departure_ms=7_000.0
+)
 FIRST = UpstreamId("i-1")
 SECOND = UpstreamId("i-2")
 
@@ -64,7 +68,7 @@
 
 
 def build_registry() -> Registry:
-    return Registry(on_event=lambda event: None)
+    return Registry(on_event=lambda event: None, retention=RETENTION)
 
 
 def transfer_state(source: Registry, target: Registry, now: float) -> bool:
--- a/tests/registry/test_restart.py
+++ b/tests/registry/test_restart.py
@@ -141,8 +141,8 @@
     source.apply_changes([put(FIRST, 1), put(SECOND, 2)], revision=2, now=Millis(0))
     source.record_store_outage(Millis(0))
     source.apply_changes([delete(FIRST, 3)], revision=3, now=Millis(0))
-    registered, _ = source._lapsed[FIRST]
-    source._lapsed[FIRST] = (registered, Millis(left_ms))
+    registered, _ = source._upstreams.lapsed[FIRST]
+    source._upstreams.lapsed[FIRST] = (registered, Millis(left_ms))
     assert transfer_state(source, started, 0.0)
     started.remove_expired(Millis(2_000.0))
     assert set(started.upstreams) == {SECOND}
