--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -127,8 +127,8 @@
             await self._handle_failure(error)
         except Exception as error:
             error.add_note(
-                f"read after revision {position.revision} of era {position.era} for "
-                f"{core.now - now:.0f} ms, state {age_ms:.0f} ms old"
+                f"read after revision {position.revision} for {core.now - now:.0f} ms, "
+                f"state {age_ms:.0f} ms old, era {position.era}"
             )
             raise
         else:
--- a/src/skylarkcart/registry/_upstreams.py
+++ b/src/skylarkcart/registry/_upstreams.py
@@ -31,12 +31,10 @@
     @property
     def all(self) -> dict[UpstreamId, RegisteredUpstream]:
         """The upstreams that may get calls, and those that are draining."""
-        stored = {
+        lapsed = {upstream: known for upstream, (known, _) in self.lapsed.items()}
+        return {
             upstream: _drain(known) if self.departures.withholds(known.entry) else known
-            for upstream, known in self.stored.items()
-        }
-        return stored | {
-            upstream: known for upstream, (known, _) in self.lapsed.items()
+            for upstream, known in (self.stored | lapsed).items()
         }
 
     def put(self, entry: UpstreamEntry, now: Millis) -> None:
@@ -55,15 +53,17 @@
         if known is None:
             return
         if now < grace_end:
-            self.lapsed[upstream] = (known, grace_end)
+            # A newer process of the upstream may have lapsed when an era began.
+            self.lapsed.setdefault(upstream, (known, grace_end))
             self._emit_event(
                 "upstream_lapsed",
                 upstream,
                 f"removed in {grace_end - now:.0f} ms unless restored",
             )
             return
-        self.departures.record(known.entry)
-        self._emit_event("upstream_gone", upstream, "entry removed")
+        if upstream not in self.lapsed:
+            self.departures.record(known.entry)
+            self._emit_event("upstream_gone", upstream, "entry removed")
 
     def drop(self, upstream: UpstreamId) -> None:
         """Drops an upstream whose address is now used by another one."""
