--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -133,7 +133,8 @@
 
     async def delete(self, key: str) -> None:
         self.revision += 1
-        del self.items[key]
+        # A restore may have lost the item.
+        self.items.pop(key, None)
         await self._add({"key": key, "revision": self.revision, "tombstone": True})
 
     def take_copy(self) -> StoreCopy:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -119,6 +119,7 @@
         self.rng = random.Random(seed)
         self.ledger = Ledger()
         self.store = StoreStandin()
+        self.store.era = 1
         self.store_proxy: Proxy | None = None
         self.upstreams: dict[str, RecordingUpstream] = {}
         self.proxies: dict[str, Proxy] = {}
@@ -137,6 +138,7 @@
             placements=placements, seeds=placements[:1], folder=folder
         )
         self._replacement_locks = [asyncio.Lock() for _ in range(GATEWAY_COUNT)]
+        self.restore_lock = asyncio.Lock()
         self._request_count = 0
         self._tasks: list[asyncio.Task[None]] = []
         self.is_sending = True
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -192,6 +192,34 @@
     await environment.store.delete(key)
 
 
+async def restore_store(environment: SoakEnvironment) -> None:
+    """Restores the store from a copy that is some seconds old.
+
+    The operators and the upstreams then write again what was lost, unless they have
+    written it anew meanwhile.
+    """
+    store, rng = environment.store, environment.rng
+    async with environment.restore_lock:
+        copy = store.take_copy()
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        start = time.monotonic()
+        store.is_unavailable = True
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        latest = dict(store.items)
+        await store.restore(copy)
+        store.is_unavailable = False
+        environment.ledger.store_fault_periods.append((start, time.monotonic()))
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        for key in copy.items.keys() | latest.keys():
+            written = {event["key"] for event in store.events[len(copy.events) :]}
+            if key in written or copy.items.get(key) == latest.get(key):
+                continue
+            if key in latest:
+                await store.put(key, latest[key][1])
+            else:
+                await store.delete(key)
+
+
 # The largest value that the store holds.
 LARGE_VALUE_BYTES = 1_048_576
 
@@ -243,8 +271,11 @@
 )
 
 
+RESTORING_STEPS = (*LATEST_STEPS, restore_store, restore_store, restore_store)
+
+
 async def run_seed(
-    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = LATEST_STEPS
+    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = RESTORING_STEPS
 ) -> SoakResult:
     """Runs a seed's steps against an environment of its own."""
     environment = SoakEnvironment(seed=seed, folder=folder)
