--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -8,7 +8,7 @@
 from skylarkcart.clock import Millis
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.gateway._core import Core
-from skylarkcart.gateway._era_check import EraCheck
+from skylarkcart.gateway._era_check import check_watched_era, resolve_era
 from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.registry import Change, StatePosition
@@ -63,7 +63,6 @@
     def __init__(self, *, core: Core) -> None:
         self._core = core
         self._store = StoreClient(address=core.settings.platform_address)
-        self._era_check = EraCheck(core=core)
         # Where changes can't be had; with a later state of a peer, they can.
         self._history_lost_at: StatePosition | None = None
         # Times in a row that the history was lost, without a watch in between.
@@ -165,7 +164,7 @@
         ):
             self._record_response("range", started_at)
             changes += decode_items(page.items, on_error=self._log_unreadable)
-            era = max(era, self._era_check.resolve(page.era, known=known))
+            era = max(era, resolve_era(core, page.era, known=known))
             revision = page.revision
             started_at = core.now
         core.registry.apply_snapshot(changes, revision=revision, era=era, now=core.now)
@@ -185,7 +184,7 @@
             timeout_ms=RESPONSE_TIMEOUT_MS,
         )
         self._record_response("watch", started_at)
-        self._era_check.check_unchanged(page.era, known=position.era)
+        check_watched_era(core, page.era, watched=position.era)
         self._losses = 0
         changes = decode_items(page.items, on_error=self._log_unreadable)
         core.registry.apply_changes(
