--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -137,12 +137,20 @@
                 and member.age_ms <= MAX_UNREACHABLE_ZONES_AGE_MS
             ):
                 core.replicas.apply_peer_unreachable_zones(member.lost_zones, now=now)
+        self._compare_state(report, now)
+        if report.wants_reply:
+            own_state = self._build_own_state(now)
+            self._send(own_state, report.sender.host, now, wants_reply=False)
+
+    def _compare_state(self, report: Report, now: Millis) -> None:
+        """Asks for the state of a peer that is ahead, or confirms the own one."""
+        core = self._core
         if report.sender.position > core.registry.position:
             if core.fleet.list_peers_ahead(core.registry.position, now):
                 self.peer_is_ahead.set()
         elif report.sender.era != core.registry.era:
-            # The store may have lost what the peer confirms.
-            pass
+            # The store may have lost since then what the peer confirms.
+            return
         elif report.echo_ms >= 0 and report.confirmed_age_ms >= 0:
             # At the confirmed time, there was no change after the peer's revision, and
             # this instance has all changes up to it. The peer built its report after
@@ -150,9 +158,6 @@
             core.registry.confirm(
                 Millis(min(now, report.echo_ms) - report.confirmed_age_ms)
             )
-        if report.wants_reply:
-            own_state = self._build_own_state(now)
-            self._send(own_state, report.sender.host, now, wants_reply=False)
 
     def _update_peers(self) -> None:
         core = self._core
--- a/src/skylarkcart/registry/_departures.py
+++ b/src/skylarkcart/registry/_departures.py
@@ -31,6 +31,10 @@
         self._left: dict[UpstreamId, int | None] = {}
         self._withheld: dict[UpstreamId, tuple[int | None, Millis]] = {}
 
+    @property
+    def has_withheld(self) -> bool:
+        return bool(self._withheld)
+
     def record(self, entry: UpstreamEntry) -> None:
         """Records that the process of an entry has left in the current era."""
         self._left.pop(entry.upstream, None)
--- a/src/skylarkcart/registry/_upstreams.py
+++ b/src/skylarkcart/registry/_upstreams.py
@@ -32,6 +32,8 @@
     def all(self) -> dict[UpstreamId, RegisteredUpstream]:
         """The upstreams that may get calls, and those that are draining."""
         lapsed = {upstream: known for upstream, (known, _) in self.lapsed.items()}
+        if not self.departures.has_withheld:
+            return self.stored | lapsed
         return {
             upstream: _drain(known) if self.departures.withholds(known.entry) else known
             for upstream, known in (self.stored | lapsed).items()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -12,7 +12,11 @@
 from skylarkcart.platform._machine import read_machine_settings
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.published import StoredItem, UpstreamState
-from skylarkcart.registry import build_upstream_key, build_zone_key
+from skylarkcart.registry import (
+    build_retention_bounds,
+    build_upstream_key,
+    build_zone_key,
+)
 from skylarkcart.types import UpstreamId, ZoneId
 from tests.gateway.standins import build_configuration
 
@@ -131,6 +135,18 @@
     assert not settings.is_first_start
 
 
+def test_bounds_of_what_is_kept_come_from_the_settings(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "node.toml"
+    bounds = {"catchUpS": 6, "configApplyMs": 5_000, "evacuateMs": 4_000}
+    bounds |= {"drainMs": 2_000, "maxStretchMs": 15_000}
+    lines = "".join(f"{name} = {value}\n" for name, value in bounds.items())
+    path.write_text(SETTINGS.replace("[bounds]\n", f"[bounds]\n{lines}"))
+    kept = build_retention_bounds(read_machine_settings(path).bounds)
+    assert kept.configuration_ms == 26_000
+    assert kept.closed_zone_ms == 25_000
+    assert kept.departure_ms == 8_000
+
+
 def test_all_invalid_addresses_are_reported_together(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "node.toml"
     path.write_text(SETTINGS.replace(":8363", "").replace(":8361", ":x"))
