--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -32,7 +32,7 @@
 from skylarkcart.lifecycle import DrainSchedule, Lifecycle
 from skylarkcart.published import CallerLimits, Configuration, Route
 from skylarkcart.quotas import INITIAL_FILL_FRACTION, Quotas
-from skylarkcart.registry import Registry, RegistryEvent
+from skylarkcart.registry import Registry, RegistryEvent, build_retention_bounds
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
 from skylarkcart.routing import RouteTable, list_services
 from skylarkcart.supervision import RestartPolicy
@@ -110,7 +110,10 @@
         self.metrics = GatewayMetrics()
         self.lifecycle = Lifecycle(linger_ms=DRAIN_LINGER_MS, quiet_ms=DRAIN_QUIET_MS)
         self.drain: DrainSchedule | None = None
-        self.registry = Registry(on_event=self._record_event)
+        self.registry = Registry(
+            on_event=self._record_event,
+            retention=build_retention_bounds(settings.bounds),
+        )
         self.replicas = Replicas(zone=settings.zone, random=random)
         self.metrics.registry.register(
             LoadCollector(get_statistics=lambda: self.replicas.load_statistics)
@@ -562,6 +565,7 @@
             event.name,
             subject=event.subject,
             detail=event.detail,
+            era=self.registry.era,
             revision=self.registry.revision,
         )
 
