Describe what an operator sees of the load of upstreams

OPERATIONS.md lists the metrics and events and walks from a refused call to the belief behind its choice; two tests walk it through a running instance. The model shows which part of the misplaced calls is due to pauses: without them at most half as many as before, with 3 and 16 upstreams and news of 100 and 500 ms.

--- a/tests/explain/test_walks.py
+++ b/tests/explain/test_walks.py
@@ -1,4 +1,4 @@
-"""The three walkthroughs in docs/OPERATIONS.md, from a request id to its cause."""
+"""The walkthroughs in docs/OPERATIONS.md, from a request id to its cause."""
 
 from __future__ import annotations
 
@@ -7,7 +7,9 @@
 
 import pytest
 
+from skylarkcart.exchange import ReportedLoad
 from skylarkcart.explain import LogLine, build_timeline, read_lines
+from skylarkcart.types import UpstreamId
 from tests.gateway.standins import API_KEY, build_configuration
 
 OPERATIONS_PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
@@ -95,6 +97,52 @@
     assert_page_mentions("request_failed", "verdict", "ends", "lost")
 
 
+async def test_call_refused_while_others_had_room(deployment, log) -> None:
+    """From a refused call to what was believed of the load, and to the metrics."""
+
+    async def refuse(_, __, headers, ___):
+        fields = {"Not-Executed": "1", "Server-Load": "4,4,4,100"}
+        return 503, {"Request-Id": headers["request-id"]} | fields, b""
+
+    core = deployment.instance._core
+    free = ReportedLoad(running=1, waiting=0, slots=4, work_factor=1.0)
+    for name in ("d1", "d2"):
+        deployment.upstreams[name].handler = refuse
+        core.replicas.replicas[UpstreamId(name)].record_load(free, now=core.now)
+    async with deployment.open_caller() as caller:
+        await caller.send("/read/x", "r1")
+    line = log.explain("r1")[0]
+    assert line.event == "call_misplaced"
+    (sibling,) = line.fields["siblings"]
+    assert {line.fields["upstream"], sibling["upstream"]} == {"d1", "d2"}
+    assert line.fields["calls"] < line.fields["slots"] == 4
+    assert line.fields["age_ms"] >= 0
+    metrics = core.metrics.render()
+    assert core.replicas.load_statistics.reports >= 3
+    assert b"skylarkcart_gateway_load_reports_total" in metrics
+    assert b"skylarkcart_gateway_load_misplaced_calls_total 1.0" in metrics
+    assert_page_mentions("call_misplaced", "calls", "slots", "age_ms", "siblings")
+
+
+async def test_unreadable_load_is_counted(deployment, log) -> None:
+    """A header that could not be read was dropped, and no load was known."""
+
+    async def answer(_, __, headers, ___):
+        request = headers["request-id"]
+        fields = {"Server-Stamp": f"{request}.1", "Server-Load": "busy"}
+        return 200, {"Request-Id": request} | fields, b"x" * 16
+
+    for name in ("d1", "d2"):
+        deployment.upstreams[name].handler = answer
+    core = deployment.instance._core
+    async with deployment.open_caller() as caller:
+        status, _, _ = await caller.send("/read/x", "r1")
+    assert status == 200
+    metrics = core.metrics.render()
+    assert b'upstream_notices_total{notice="invalid_load"} 1.0' in metrics
+    assert_page_mentions("load_unreadable", "invalid_load")
+
+
 def test_lines_of_other_programs_are_skipped() -> None:
     raw_lines = [
         "Traceback (most recent call last):",
--- a/tests/replicas/choice_model.py
+++ b/tests/replicas/choice_model.py
@@ -46,7 +46,15 @@
 class ModelUpstream:
     """An upstream with slots, a bounded queue and pauses on a shared machine."""
 
-    def __init__(self, *, number: int, random: random.Random, is_slow: bool) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        random: random.Random,
+        is_slow: bool,
+        pauses: bool,
+    ) -> None:
+        self._pause_ms = PAUSE_MS if pauses else 0.0
         self.upstream = UpstreamId(f"i-{number}")
         self.speed = SPEEDS[number % len(SPEEDS)]
         self.running = 0
@@ -66,7 +74,7 @@
         return len(self.queue) >= QUEUE_LIMIT
 
     def is_paused(self, now: float) -> bool:
-        return (now - self._pause_phase) % PAUSE_INTERVAL_MS < PAUSE_MS
+        return (now - self._pause_phase) % PAUSE_INTERVAL_MS < self._pause_ms
 
     def get_factor(self, now: float) -> float:
         if now >= self._factor_until:
@@ -81,8 +89,8 @@
         work_ms = WORK_MS * self._random.uniform(0.5, 1.5)
         end = now + work_ms * self.get_factor(now) / self.speed
         if self.is_paused(now):
-            return end + PAUSE_MS - (now - self._pause_phase) % PAUSE_INTERVAL_MS
-        return end + PAUSE_MS if self.is_paused(end) else end
+            return end + self._pause_ms - (now - self._pause_phase) % PAUSE_INTERVAL_MS
+        return end + self._pause_ms if self.is_paused(end) else end
 
     def report(self, now: float, *, states_factor: bool) -> ReportedLoad:
         return ReportedLoad(
@@ -118,13 +126,24 @@
     """
 
     def __init__(
-        self, *, seed: int, upstreams: int, news_ms: float, states_factor: bool
+        self,
+        *,
+        seed: int,
+        upstreams: int,
+        news_ms: float,
+        states_factor: bool,
+        pauses: bool = True,
     ) -> None:
         self._random = random.Random(seed)
         self._news_ms = news_ms
         self._states_factor = states_factor
         self.upstreams = [
-            ModelUpstream(number=number, random=self._random, is_slow=number == 1)
+            ModelUpstream(
+                number=number,
+                random=self._random,
+                is_slow=number == 1,
+                pauses=pauses,
+            )
             for number in range(upstreams)
         ]
         self._by_id = {upstream.upstream: upstream for upstream in self.upstreams}
@@ -245,7 +264,9 @@
 
 
 @functools.cache
-def run_all(*, upstreams: int, news_ms: float, states_factor: bool) -> Figures:
+def run_all(
+    *, upstreams: int, news_ms: float, states_factor: bool, pauses: bool = True
+) -> Figures:
     """Returns the mean figures over some seeds."""
     runs = [
         ChoiceModel(
@@ -253,6 +274,7 @@
             upstreams=upstreams,
             news_ms=news_ms,
             states_factor=states_factor,
+            pauses=pauses,
         ).run()
         for seed in range(SEEDS[upstreams])
     ]
--- a/tests/replicas/test_many_choosers.py
+++ b/tests/replicas/test_many_choosers.py
@@ -30,6 +30,22 @@
     assert run_new(upstreams, news_ms).misplaced <= 0.5 * today.misplaced
 
 
+@UPSTREAMS
+@pytest.mark.parametrize("news_ms", [100.0, 500.0])
+def test_half_as_many_without_pauses(upstreams: int, news_ms: float) -> None:
+    """A pause fills a queue sooner than old news arrive; the choice does the rest."""
+    today, new = (
+        run_all(
+            upstreams=upstreams,
+            news_ms=news_ms,
+            states_factor=states_factor,
+            pauses=False,
+        )
+        for states_factor in (False, True)
+    )
+    assert new.misplaced <= 0.5 * today.misplaced
+
+
 @UPSTREAMS
 def test_longest_queue_is_near_that_with_perfect_news(upstreams: int) -> None:
     perfect = run_new(upstreams, 0.0)
