--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,6 +15,7 @@
 
 # Memory of the smallest machines of the operators.
 MEMORY_MB = 200
+MAX_FDS = 4_100
 
 SETTINGS = """
 nodeName = "{name}"
@@ -31,6 +32,7 @@
 control = "{host}:8360"
 [limits]
 memoryMb = {memory_mb}
+maxFds = {max_fds}
 [platform]
 address = "127.0.0.1:{store}"
 """
@@ -58,11 +60,15 @@
         seeds: Sequence[Placement],
         folder: pathlib.Path,
         source: pathlib.Path = SOURCE,
+        memory_mb: int = MEMORY_MB,
+        max_fds: int = MAX_FDS,
     ) -> None:
         self.placements = tuple(placements)
         self._seeds = ", ".join(f'"{seed.host}:8360"' for seed in seeds)
         self._folder = folder
         self._source = source
+        self._memory_mb = memory_mb
+        self._max_fds = max_fds
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
 
     def start(self, number: int, *, store_port: int, is_first: bool = False) -> None:
@@ -78,7 +84,8 @@
                 seeds=self._seeds,
                 bootstrap=str(is_first).lower(),
                 store=store_port,
-                memory_mb=MEMORY_MB,
+                memory_mb=self._memory_mb,
+                max_fds=self._max_fds,
             )
         )
         process_environment = {
@@ -97,6 +104,9 @@
     def is_running(self, number: int) -> bool:
         return self._processes[number].poll() is None
 
+    def get_pid(self, number: int) -> int:
+        return self._processes[number].pid
+
     def send_signal(self, number: int, signal_number: signal.Signals) -> None:
         if self.is_running(number):
             self._processes[number].send_signal(signal_number)
@@ -129,7 +139,7 @@
                 for line in status.splitlines()
                 if line.startswith("VmHWM")
             )
-            if peak_kb > MEMORY_MB * 1_000:
+            if peak_kb > self._memory_mb * 1_000:
                 name = self.placements[number].name
                 violations.append(f"MEMORY {name} used {peak_kb} KB")
         return violations
