Count what callers hold, and let connections give way when room is short

A process kept every byte that callers sent: queued bodies, heads, trailers in the parser, and unread responses had no common bound. One account per process, derived from memoryMb and maxFds, now counts them; bodies are admitted before they are read, pipelining pauses reading, and stalled connections go first. Calls of one request share its body, and idle upstream connections no longer keep the last response.

--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -5,52 +5,58 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from typing import Protocol
 
-import httptools
-
-from skylarkcart.clock import Clock, Millis
-from skylarkcart.errors import InvalidValueError
-from skylarkcart.exchange import CallerRequest
-from skylarkcart.platform._messages import decode_request, encode_error_response
+from skylarkcart.clock import Millis
+from skylarkcart.gateway._caller_service import CallerService, Exchange
+from skylarkcart.gateway._request_reader import (
+    ReadRequest,
+    RequestReader,
+    compute_largest_request,
+)
+from skylarkcart.platform._messages import encode_error_response
 from skylarkcart.published import CallerLimits
+from skylarkcart.receive import Activity, Refusal, Share
 
 # A caller that opens a connection for a request sends the request immediately; after
 # this age, the connection counts as reused.
 NEW_CONNECTION_MAX_AGE_MS = 5.0
 
-# Requests queued on one connection while an earlier one is being handled.
+# While a request is in progress, so much of later ones is read on the same connection.
 MAX_PIPELINED_REQUESTS = 16
+MAX_PIPELINED_BYTES = 16_384
 
+# Data is parsed in pieces, so that what a caller sends beyond a limit is noticed.
+PIECE_BYTES = 16_384
 
-class Exchange(Protocol):
-    """A request in progress."""
-
-    def abandon(self) -> None:
-        """Stops processing after the caller has disconnected."""
-
-    def expire(self) -> None:
-        """Responds now with what there is, as the process is about to end."""
-
+# Requests that may start one after the other before other connections have their turn.
+MAX_REQUESTS_PER_TURN = 16
 
-class CallerService(Protocol):
-    """What a caller connection requires of its instance."""
+# Memory of a connection, and of a request in progress with its calls to upstreams.
+CONNECTION_BYTES = 8_192
+REQUEST_BYTES = 32_768
 
-    clock: Clock
+# A caller that sends while it is refused gets the response only if the connection is
+# still read; so long and so many bytes of the largest body.
+DISCARD_MS = 500.0
 
-    def get_caller_limits(self) -> CallerLimits: ...
+# Retry-After of a request that was refused for lack of memory.
+RETRY_AFTER_MS = 200.0
 
-    def closes_connections(self) -> bool: ...
+STATUS_UNAVAILABLE = 503
 
-    def handle(
-        self, connection: CallerConnection, request: CallerRequest, arrived_at: Millis
-    ) -> Exchange | None: ...
 
-    def record_rejection(self, reason: str, status: int) -> None: ...
+def compute_largest_share(limits: CallerLimits) -> int:
+    """Returns what a connection holds at most for one request in the limits."""
+    return CONNECTION_BYTES + REQUEST_BYTES + compute_largest_request(limits)
 
 
 class CallerConnection(asyncio.Protocol):
-    """Parses complete requests and writes responses in request order."""
+    """Reads requests, and writes responses in request order.
+
+    What the connection holds counts in the service's account. The connection is not
+    read while it holds enough of later requests, and starts no further request while
+    the caller does not read a response.
+    """
 
     def __init__(
         self,
@@ -59,28 +65,48 @@
         on_connection_lost: Callable[[CallerConnection], None],
     ) -> None:
         self._service = service
+        self._account = service.account
         self._on_connection_lost = on_connection_lost
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._queue: collections.deque[tuple[CallerRequest, Millis]] = (
-            collections.deque()
+        self._share: Share | None = None
+        self._reader = RequestReader(
+            get_limits=service.get_caller_limits,
+            admit_body=self._hold,
+            on_continue=self._send_continue,
+            on_request=self._enqueue,
         )
+        self._queue: collections.deque[ReadRequest] = collections.deque()
+        self._queued_bytes = 0
+        self._handled_bytes = 0
+        # Size of a response that the caller has not read completely, and its rest.
+        self._unsent_bytes = 0
+        self._unsent_rest = 0
+        # Data that is not parsed yet, and when it arrived.
+        self._backlog: bytes | memoryview = b""
+        self._backlog_arrived_at = Millis(0.0)
         self._exchange: Exchange | None = None
         self._is_handling = False
-        self._limits = service.get_caller_limits()
+        self._is_sending = False
+        self._is_advancing = False
+        self._is_paused = False
         self._is_closing = False
-        self._closes_after_responses = False
         # Set after a malformed request behind pending ones, or one for another
         # protocol; no further data is read.
         self._is_rejecting = False
+        # Until when data is read and dropped after the last response.
+        self._discards_until: Millis | None = None
+        self._discardable_bytes = 0
         self._last_active_at = service.clock.now()
         self._opened_at = self._last_active_at
-        self._begin_message()
 
     @property
     def is_idle(self) -> bool:
         return (
-            not self._is_handling and not self._is_reading_message and not self._queue
+            not self._is_handling
+            and not self._is_sending
+            and not self._reader.is_reading
+            and not self._queue
+            and not self._backlog
         )
 
     def is_new(self, arrived_at: Millis) -> bool:
@@ -89,10 +115,21 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
+        peer = transport.get_extra_info("peername")
+        self._share = self._account.open(
+            str(peer[0]) if peer else "", give_way=self._give_way, now=self._opened_at
+        )
+        if self._share is None:
+            self._abort(Refusal.DESCRIPTORS.value)
+        elif not self._hold():
+            self._abort(Refusal.MEMORY.value)
 
     def connection_lost(self, error: Exception | None) -> None:
         self._is_closing = True
-        self._queue.clear()
+        self._drop_requests()
+        if self._share is not None:
+            self._account.close(self._share)
         if self._exchange is not None:
             self._exchange.abandon()
             self._exchange = None
@@ -100,50 +137,52 @@
 
     def data_received(self, data: bytes) -> None:
         if self._is_closing or self._is_rejecting:
+            self._discard(len(data))
             return
-        if not self._is_reading_message:
-            self._last_active_at = self._service.clock.now()
-        self._unparsed_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request itself was passed on; the parser reads nothing after it.
-            self._is_rejecting = True
-            if not self._is_handling and not self._queue and not self._is_closing:
-                self._close()
-        except httptools.HttpParserError:
-            self._reject(400, "malformed_request")
-        if (
-            self._is_reading_headers
-            and self._unparsed_bytes > self._limits.max_header_bytes
-        ):
-            self._reject(431, "header_too_large")
+        now = self._service.clock.now()
+        self._share.record_progress(len(data), now)
+        self._backlog = bytes(self._backlog) + data if self._backlog else data
+        self._backlog_arrived_at = now
+        self._advance()
+
+    def pause_writing(self) -> None:
+        self._is_sending = True
+
+    def resume_writing(self) -> None:
+        self._is_sending = False
+        self._unsent_bytes = 0
+        self._advance()
 
     def respond(self, data: bytes, *, closes: bool) -> None:
         """Sends the response to the current request."""
         self._exchange = None
         self._is_handling = False
+        self._handled_bytes = 0
         if self._transport is None or self._transport.is_closing():
             return
         self._last_active_at = self._service.clock.now()
         self._transport.write(data)
-        if closes or (not self._queue and self._closes_when_drained()):
+        if self._is_sending:
+            self._unsent_bytes = self._unsent_rest = len(data)
+        if closes or (not self._queue and self._is_rejecting):
             self._close()
             return
-        self._handle_next()
-
-    def _closes_when_drained(self) -> bool:
-        return self._closes_after_responses or self._is_rejecting
+        self._advance()
 
     def check_timeouts(self, now: Millis) -> None:
-        """Enforces the timeouts for reading a request and for idle connections."""
-        if self._is_closing or self._is_handling:
-            return
-        waited_ms = now - self._last_active_at
-        if self._is_reading_message and waited_ms > self._limits.header_timeout_ms:
-            self._reject(408, "request_too_slow")
-        elif self.is_idle and waited_ms > self._limits.idle_timeout_ms:
-            self._close()
+        """Enforces the timeouts for requests, responses and idle connections."""
+        limits = self._service.get_caller_limits()
+        if self._is_sending and not self._is_handling:
+            self._check_sending(now, limits)
+        elif self._is_closing:
+            if self._discards_until is not None and now >= self._discards_until:
+                self._transport.abort()
+        elif not self._is_handling:
+            waited_ms = now - max(self._last_active_at, self._reader.arrived_at)
+            if self._reader.is_reading and waited_ms > limits.header_timeout_ms:
+                self._reject(408, "request_too_slow")
+            elif self.is_idle and waited_ms > limits.idle_timeout_ms:
+                self._close()
 
     def expire(self) -> None:
         """Ends the request in progress with a final response."""
@@ -160,93 +199,211 @@
         if self.is_idle and not self._is_closing and idle_ms >= min_idle_ms:
             self._close()
 
-    def on_message_begin(self) -> None:
-        self._begin_message()
-        self._is_reading_message = True
-        self._is_reading_headers = True
-        self._arrived_at = self._service.clock.now()
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name, value))
-        self._header_bytes += len(name) + len(value) + 4
-        if name.lower() == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-
-    def on_headers_complete(self) -> None:
-        self._is_reading_headers = False
-        self._limits = self._service.get_caller_limits()
-        if self._header_bytes + len(self._target) > self._limits.max_header_bytes:
-            self._reject(431, "header_too_large")
-        elif self._expects_continue and not self._is_closing:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        self._body += body
-        if len(self._body) > self._limits.max_body_bytes:
-            self._reject(413, "body_too_large")
-
-    def on_message_complete(self) -> None:
-        self._is_reading_message = False
-        self._unparsed_bytes = 0
-        if self._is_closing:
+    def _advance(self) -> None:
+        """Parses data and starts requests as far as they can proceed now."""
+        if self._is_advancing:
             return
-        if self._parser.get_method() == b"CONNECT":
-            self._reject(400, "tunnels_not_supported")
-            return
-        if not self._parser.should_keep_alive() or self._parser.should_upgrade():
-            self._closes_after_responses = True
+        self._is_advancing = True
+        started = 0
         try:
-            request = decode_request(
-                self._parser.get_method(),
-                bytes(self._target),
-                self._headers,
-                bytes(self._body),
+            while not self._is_closing:
+                if self._queue and not self._is_handling and not self._is_sending:
+                    if started == MAX_REQUESTS_PER_TURN:
+                        asyncio.get_running_loop().call_soon(self._advance)
+                        break
+                    started += 1
+                    self._start_next()
+                elif self._backlog and not self._is_rejecting and not self._is_full():
+                    self._parse_piece()
+                else:
+                    break
+        finally:
+            self._is_advancing = False
+        self._settle()
+
+    def _is_full(self) -> bool:
+        """Whether enough of later requests is held while others are in progress."""
+        if not (self._is_handling or self._is_sending or self._queue):
+            return False
+        return (
+            len(self._queue) >= MAX_PIPELINED_REQUESTS
+            or self._queued_bytes + self._reader.get_held_bytes(with_expected=False)
+            > MAX_PIPELINED_BYTES
+        )
+
+    def _parse_piece(self) -> None:
+        piece = self._backlog
+        if len(piece) > PIECE_BYTES:
+            rest = memoryview(piece)
+            piece, self._backlog = rest[:PIECE_BYTES], rest[PIECE_BYTES:]
+        else:
+            self._backlog = b""
+        self._reader.feed(piece, self._backlog_arrived_at)
+        rejection = self._reader.rejection
+        if rejection is not None:
+            self._reject(rejection.status, rejection.reason)
+        elif self._reader.has_last_request:
+            self._is_rejecting = True
+            if not self._is_handling and not self._queue:
+                self._close()
+
+    def _enqueue(self, read: ReadRequest) -> None:
+        self._queue.append(read)
+        self._queued_bytes += read.size
+
+    def _start_next(self) -> None:
+        read = self._queue.popleft()
+        self._queued_bytes -= read.size
+        self._share.has_sent_request = True
+        self._is_handling = True
+        self._handled_bytes = read.size + REQUEST_BYTES
+        if not self._hold():
+            self._service.record_rejection(Refusal.MEMORY.value, STATUS_UNAVAILABLE)
+            closes = self._service.closes_connections()
+            self.respond(
+                _encode_refusal(
+                    Refusal.MEMORY, request_id=read.request.request_id, closes=closes
+                ),
+                closes=closes,
             )
-        except InvalidValueError as error:
-            self._reject(400, str(error.where))
-            return
-        if len(self._queue) >= MAX_PIPELINED_REQUESTS:
-            self._reject(400, "too_many_pipelined_requests")
             return
-        self._queue.append((request, self._arrived_at))
-        self._handle_next()
-
-    def _begin_message(self) -> None:
-        self._target = bytearray()
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._header_bytes = 0
-        self._body = bytearray()
-        self._expects_continue = False
-        self._is_reading_message = False
-        self._is_reading_headers = False
-        self._unparsed_bytes = 0
-        self._arrived_at = self._last_active_at
-
-    def _handle_next(self) -> None:
-        if self._is_handling or not self._queue or self._is_closing:
-            return
-        request, arrived_at = self._queue.popleft()
-        self._is_handling = True
-        exchange = self._service.handle(self, request, arrived_at)
+        exchange = self._service.handle(self, read.request, read.arrived_at)
         if self._is_handling:
             self._exchange = exchange
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _hold(self) -> bool:
+        """Counts what the connection holds; returns whether there is room for it."""
+        reader = self._reader
+        size = (
+            CONNECTION_BYTES
+            + self._queued_bytes
+            + self._handled_bytes
+            + self._unsent_bytes
+            + len(self._backlog)
+        )
+        if reader.is_reading:
+            # A body behind other requests is not read as a whole yet.
+            reserves = not self._is_handling and not self._queue
+            size += reader.get_held_bytes(with_expected=reserves)
+            if reserves and reader.expects_body:
+                size += REQUEST_BYTES
+        share = self._share
+        if size == share.bytes_held:
+            return True
+        return self._account.try_set(share, size, now=self._service.clock.now())
+
+    def _settle(self) -> None:
+        """Brings the account and the flow of data in line with the state."""
+        activity = self._get_activity()
+        if activity is not self._share.activity:
+            self._share.begin(activity, self._service.clock.now())
+        if not self._hold() and not self._is_closing:
+            if self._is_sending:
+                self._abort(Refusal.MEMORY.value)
+            else:
+                self._reject(STATUS_UNAVAILABLE, Refusal.MEMORY.value)
+        pauses = bool(self._backlog) or self._is_full()
+        if pauses is not self._is_paused and not self._is_closing:
+            self._is_paused = pauses
+            if pauses:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    def _get_activity(self) -> Activity:
+        if self._is_handling:
+            return Activity.HANDLING
+        if self._is_sending:
+            return Activity.SENDING
+        if self._queue:
+            return Activity.HANDLING
+        if self._reader.is_reading or self._backlog:
+            return Activity.RECEIVING
+        return Activity.IDLE
+
+    def _check_sending(self, now: Millis, limits: CallerLimits) -> None:
+        rest = self._transport.get_write_buffer_size()
+        self._share.record_progress(max(0, self._unsent_rest - rest), now)
+        self._unsent_rest = rest
+        if now - self._share.progressed_at > limits.idle_timeout_ms:
+            self._abort("response_not_read")
+
+    def _send_continue(self) -> None:
+        self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _reject(self, status: int, reason: str, *, lingers: bool = True) -> None:
         if self._is_closing or self._is_rejecting:
             return
         self._service.record_rejection(reason, status)
+        has_more = self._reader.is_reading or bool(self._backlog)
+        self._reader.discard()
+        self._backlog = b""
+        self._is_rejecting = True
         if self._is_handling or self._queue:
             # Earlier requests receive their responses before the connection is closed.
-            self._is_rejecting = True
             return
+        retry_after_ms = RETRY_AFTER_MS if status == STATUS_UNAVAILABLE else None
         self._transport.write(
-            encode_error_response(status, reason=reason, close_connection=True)
+            encode_error_response(
+                status,
+                reason=reason,
+                retry_after_ms=retry_after_ms,
+                close_connection=True,
+            )
         )
-        self._close()
+        self._close(discards=has_more and lingers)
+
+    def _give_way(self, reason: Refusal) -> None:
+        """Closes the connection to make room for others."""
+        if self._is_closing:
+            self._transport.abort()
+        elif self._is_sending:
+            self._abort(reason.value)
+        elif self.is_idle:
+            self._service.record_closing(reason.value)
+            self._close()
+        else:
+            self._reject(STATUS_UNAVAILABLE, reason.value, lingers=False)
 
-    def _close(self) -> None:
+    def _abort(self, reason: str) -> None:
+        self._service.record_closing(reason)
         self._is_closing = True
-        self._transport.close()
+        self._drop_requests()
+        self._transport.abort()
+
+    def _close(self, *, discards: bool = False) -> None:
+        self._is_closing = True
+        self._drop_requests()
+        if discards and not self._is_sending:
+            # Closing a connection with unread data resets it, and the response is lost.
+            limits = self._service.get_caller_limits()
+            self._discardable_bytes = limits.max_body_bytes
+            self._discards_until = Millis(self._service.clock.now() + DISCARD_MS)
+            if self._is_paused:
+                self._is_paused = False
+                self._transport.resume_reading()
+            self._transport.write_eof()
+        else:
+            self._transport.close()
+        self._hold()
+
+    def _discard(self, size: int) -> None:
+        self._discardable_bytes -= size
+        if self._discards_until is not None and self._discardable_bytes < 0:
+            self._transport.abort()
+
+    def _drop_requests(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._backlog = b""
+        self._reader.discard()
+
+
+def _encode_refusal(reason: Refusal, *, request_id: bytes, closes: bool) -> bytes:
+    return encode_error_response(
+        STATUS_UNAVAILABLE,
+        reason=reason.value,
+        request_id=request_id,
+        retry_after_ms=RETRY_AFTER_MS,
+        close_connection=closes,
+    )
--- a/src/skylarkcart/gateway/_completion.py
+++ b/src/skylarkcart/gateway/_completion.py
@@ -6,7 +6,7 @@
 
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import CallerRequest
-from skylarkcart.gateway._caller_connection import CallerConnection
+from skylarkcart.gateway._caller_service import ResponseWriter
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, Level
 from skylarkcart.platform._messages import encode_error_response
@@ -38,7 +38,7 @@
         self,
         *,
         core: Core,
-        connection: CallerConnection,
+        connection: ResponseWriter,
         request: CallerRequest,
         arrived_at: Millis,
     ) -> None:
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -21,6 +21,7 @@
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.fleet import UNKNOWN_RATE, Fleet
+from skylarkcart.gateway._caller_connection import compute_largest_share
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
@@ -31,6 +32,7 @@
 from skylarkcart.lifecycle import DrainSchedule, Lifecycle
 from skylarkcart.published import CallerLimits, Configuration, Route
 from skylarkcart.quotas import INITIAL_FILL_FRACTION, Quotas
+from skylarkcart.receive import Account, derive_caller_sizes
 from skylarkcart.registry import Registry, RegistryEvent
 from skylarkcart.replicas import Replica, Replicas, RouteLatency
 from skylarkcart.routing import RouteTable, list_services
@@ -133,6 +135,12 @@
             on_rejected=self._record_rejected_response,
             on_notice=self._handle_notice,
         )
+        sizes = derive_caller_sizes(
+            memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+        )
+        self.caller_account = Account(
+            size=sizes.account_bytes, max_connections=sizes.max_connections
+        )
         self.table: RouteTable | None = None
         # The one in the registry; the table's is older if this one has failed.
         self._latest_configuration: Configuration | None = None
@@ -238,6 +246,9 @@
         table = RouteTable(configuration=configuration, random=self.random)
         self.quotas.configure(table.accounts, self.now)
         self.table = table
+        self.caller_account.fit_largest_request(
+            compute_largest_share(configuration.limits)
+        )
         self._used_services = table.list_reachable_services()
         self.update_cold_call_rates()
         self._remove_unused_routes()
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -18,7 +18,7 @@
 from skylarkcart.gateway._timing import RequestDeadlines
 from skylarkcart.platform._messages import (
     encode_merged_response,
-    encode_upstream_request,
+    encode_upstream_head,
 )
 from skylarkcart.published import Route
 from skylarkcart.replicas import CallEnd, Replica
@@ -142,7 +142,7 @@
     def _send(self, part: Part, replica: Replica) -> None:
         now = self._core.now
         upstream = replica.entry.upstream
-        data = encode_upstream_request(
+        head = encode_upstream_head(
             self._completion.request,
             upstream=upstream,
             time_left_ms=self._deadlines.hard_deadline - now,
@@ -151,7 +151,8 @@
         part.begin_call(upstream, now)
         call = self._core.pool.call(
             replica,
-            data,
+            head,
+            body=self._completion.request.body,
             request_id=self._completion.request.request_id,
             is_idempotent=True,
             typical_ms=self._latency.get_quantile(MEDIAN_QUANTILE),
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -191,6 +191,8 @@
         core.metrics.state_age.set(core.registry.get_age_ms(now) / 1000.0)
         core.metrics.state_revision.set(core.registry.revision)
         core.metrics.configuration_version.set(core.configuration_version)
+        core.metrics.caller_bytes.set(core.caller_account.held)
+        core.metrics.caller_connections.set(len(core.caller_account.shares))
 
     def _update_readiness(self, reason: str | None, now: Millis) -> None:
         core = self._core
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -119,6 +119,22 @@
             ("reason",),
             registry=registry,
         )
+        self.caller_rejections = Counter(
+            "skylarkcart_gateway_caller_rejections",
+            "Requests rejected before they were read, and connections closed early",
+            ("reason",),
+            registry=registry,
+        )
+        self.caller_bytes = Gauge(
+            "skylarkcart_gateway_caller_bytes",
+            "Memory that callers make the process hold, as counted",
+            registry=registry,
+        )
+        self.caller_connections = Gauge(
+            "skylarkcart_gateway_caller_connections",
+            "Open connections of callers",
+            registry=registry,
+        )
         self.internal_errors = Counter(
             "skylarkcart_gateway_internal_errors",
             "Unexpected errors by the part in which they occurred",
--- a/src/skylarkcart/gateway/_pool.py
+++ b/src/skylarkcart/gateway/_pool.py
@@ -62,7 +62,8 @@
         *,
         call_id: int,
         replica: Replica,
-        data: bytes,
+        head: bytes,
+        body: bytes,
         request_id: bytes,
         is_idempotent: bool,
         started_at: Millis,
@@ -70,7 +71,9 @@
     ) -> None:
         self.call_id = call_id
         self.replica = replica
-        self.data = data
+        # Dropped when they are sent: an abandoned call may be kept for longer.
+        self.head = head
+        self.body = body
         self.request_id = request_id
         self.is_idempotent = is_idempotent
         self.started_at = started_at
@@ -137,8 +140,9 @@
     def call(
         self,
         replica: Replica,
-        data: bytes,
+        head: bytes,
         *,
+        body: bytes = b"",
         request_id: bytes,
         is_idempotent: bool,
         typical_ms: float,
@@ -152,7 +156,8 @@
         call = Call(
             call_id=next(self._call_ids),
             replica=replica,
-            data=data,
+            head=head,
+            body=body,
             request_id=request_id,
             is_idempotent=is_idempotent,
             started_at=now,
@@ -375,7 +380,8 @@
     ) -> None:
         call.connection = connection
         connections.busy[connection] = call
-        connection.send(call.data, request_id=call.request_id)
+        connection.send(call.head, body=call.body, request_id=call.request_id)
+        call.head = call.body = b""
 
     def _handle_response(
         self, connection: UpstreamConnection, response: UpstreamResponse
--- a/src/skylarkcart/gateway/_receive_limits.py
+++ b/src/skylarkcart/gateway/_receive_limits.py
@@ -4,10 +4,7 @@
 
 import msgspec
 
-BYTES_PER_MB = 1_000_000
-
-# Fraction of a process's memory that may hold bodies of responses being received.
-RECEIVE_MEMORY_FRACTION = 0.125
+from skylarkcart.receive import Memory, derive_upstream_bytes
 
 # Largest body of one response, as a fraction of the memory for all of them, so that a
 # few upstreams that send without end leave room for other large responses.
@@ -41,7 +38,7 @@
         return self.max_head_bytes + MAX_FRAMING_FACTOR * self.max_body_bytes
 
 
-class ReceiveMemory:
+class ReceiveMemory(Memory):
     """Memory that all responses being received share.
 
     >>> memory = ReceiveMemory(memory_mb=200)
@@ -50,27 +47,12 @@
     """
 
     def __init__(self, *, memory_mb: float) -> None:
-        self._size = int(RECEIVE_MEMORY_FRACTION * memory_mb * BYTES_PER_MB)
-        self._held = 0
+        super().__init__(size=derive_upstream_bytes(memory_mb))
         self.limits = ReceiveLimits(
             max_head_bytes=MAX_HEAD_BYTES,
-            max_body_bytes=int(MAX_BODY_FRACTION * self._size),
+            max_body_bytes=int(MAX_BODY_FRACTION * self.size),
         )
 
-    @property
-    def held(self) -> int:
-        return self._held
-
-    def try_hold(self, size: int) -> bool:
-        """Reserves ``size`` bytes, or returns False if too few are left."""
-        if self._held + size > self._size:
-            return False
-        self._held += size
-        return True
-
-    def release(self, size: int) -> None:
-        self._held -= size
-
 
 class ResponseMeter:
     """Counts the bytes that arrive for one call and finds the limit that they exceed.
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -18,7 +18,7 @@
 from skylarkcart.gateway._timing import RequestDeadlines
 from skylarkcart.platform._messages import (
     encode_relayed_response,
-    encode_upstream_request,
+    encode_upstream_head,
 )
 from skylarkcart.published import Route
 from skylarkcart.replicas import CallEnd
@@ -96,7 +96,7 @@
         self._tried.append(replica.entry.upstream)
         self._attempts += 1
         self._last_call_at = now
-        data = encode_upstream_request(
+        head = encode_upstream_head(
             self._completion.request,
             upstream=replica.entry.upstream,
             time_left_ms=self._deadlines.hard_deadline - now,
@@ -104,7 +104,8 @@
         )
         call = core.pool.call(
             replica,
-            data,
+            head,
+            body=self._completion.request.body,
             request_id=self._completion.request.request_id,
             is_idempotent=self._route.is_idempotent,
             typical_ms=typical_ms,
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -5,7 +5,7 @@
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.exchange import CallerRequest
 from skylarkcart.gateway._admission import Refusal, admit
-from skylarkcart.gateway._caller_connection import CallerConnection, Exchange
+from skylarkcart.gateway._caller_service import Exchange, ResponseWriter
 from skylarkcart.gateway._completion import STATUS_INTERNAL_ERROR, RequestCompletion
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._gather import GatherExchange
@@ -20,6 +20,7 @@
     def __init__(self, *, core: Core) -> None:
         self._core = core
         self.clock: Clock = core.clock
+        self.account = core.caller_account
 
     def get_caller_limits(self) -> CallerLimits:
         return self._core.caller_limits
@@ -30,10 +31,16 @@
     def record_rejection(self, reason: str, status: int) -> None:
         """Records a request that was rejected before it was read completely."""
         self._core.metrics.requests.labels("", "rejected").inc()
+        self._core.metrics.caller_rejections.labels(reason).inc()
         self._core.log_warning("request_rejected", reason=reason, status=status)
 
+    def record_closing(self, reason: str) -> None:
+        """Records that a connection was closed while no request was in progress."""
+        self._core.metrics.caller_rejections.labels(reason).inc()
+        self._core.log_warning("connection_closed", reason=reason)
+
     def handle(
-        self, connection: CallerConnection, request: CallerRequest, arrived_at: Millis
+        self, connection: ResponseWriter, request: CallerRequest, arrived_at: Millis
     ) -> Exchange | None:
         """Starts a request; returns None if it was refused.
 
@@ -57,7 +64,7 @@
             return None
 
     def _start(
-        self, connection: CallerConnection, completion: RequestCompletion
+        self, connection: ResponseWriter, completion: RequestCompletion
     ) -> Exchange | None:
         core = self._core
         admission = admit(
--- a/src/skylarkcart/gateway/_upstream_connection.py
+++ b/src/skylarkcart/gateway/_upstream_connection.py
@@ -65,11 +65,15 @@
     def is_busy(self) -> bool:
         return self._request_id is not None
 
-    def send(self, data: bytes, *, request_id: bytes) -> None:
+    def send(self, head: bytes, *, body: bytes = b"", request_id: bytes) -> None:
         self.has_sent_call = True
         self._request_id = request_id
         self._meter.begin_call()
-        self._transport.write(data)
+        if body:
+            # Calls of one request share the body; joining would copy it.
+            self._transport.writelines((head, body))
+        else:
+            self._transport.write(head)
 
     def close(self) -> None:
         self.is_open = False
@@ -150,6 +154,8 @@
         if self._response is not None or self._rejection is not None:
             return
         response = decode_response(status, self._headers, b"".join(self._body))
+        # An idle connection would keep it until the next response.
+        self._body = []
         self._meter.release()
         if response.speaks_of_upstream:
             self._on_notice(response)
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -31,7 +31,8 @@
     instances may be down. All instances of a fleet use the same ``peer_port``.
     ``is_first_start`` is true if no instance of the fleet has run before. ``link_mbps``
     is the rate of the machine's network link in megabits per second, ``memory_mb`` the
-    memory that the process may use, in megabytes.
+    memory that the process may use, in megabytes, and ``max_descriptors`` the file
+    descriptors that it may have open.
     """
 
     instance: InstanceId
@@ -47,4 +48,5 @@
     is_first_start: bool
     link_mbps: float
     memory_mb: float
+    max_descriptors: int
     bounds: Bounds
--- a/src/skylarkcart/platform/_machine.py
+++ b/src/skylarkcart/platform/_machine.py
@@ -18,8 +18,9 @@
 # If the file states no rate, the default of `_Limits` applies.
 MIN_LINK_MBPS = 1.0
 
-# Less memory does not suffice for the process itself.
+# Less memory and fewer descriptors do not suffice for the process itself.
 MIN_MEMORY_MB = 64.0
+MIN_DESCRIPTORS = 256
 
 
 class _Section(msgspec.Struct, frozen=True, rename="camel"):
@@ -44,6 +45,7 @@
 class _Limits(_Section, frozen=True):
     link_mbps: float = 1_000.0
     memory_mb: float = 200.0
+    max_fds: int = 4_100
 
 
 class _Store(_Section, frozen=True):
@@ -118,6 +120,7 @@
         is_first_start=document.bootstrap,
         link_mbps=max(MIN_LINK_MBPS, document.limits.link_mbps),
         memory_mb=max(MIN_MEMORY_MB, document.limits.memory_mb),
+        max_descriptors=max(MIN_DESCRIPTORS, document.limits.max_fds),
         bounds=_convert_bounds(document.bounds),
     )
 
--- a/src/skylarkcart/platform/_messages.py
+++ b/src/skylarkcart/platform/_messages.py
@@ -95,14 +95,14 @@
     )
 
 
-def encode_upstream_request(
+def encode_upstream_head(
     request: CallerRequest,
     *,
     upstream: UpstreamId,
     time_left_ms: float,
     account: AccountId | None,
 ) -> bytes:
-    """Encodes a request to an upstream with the caller's method, target and body."""
+    """Encodes the head of a request to an upstream; the caller's body follows it."""
     lines = [
         request.method + b" " + request.target + b" HTTP/1.1" + CRLF,
         request.forwarded_headers,
@@ -114,7 +114,6 @@
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
     lines.append(CRLF)
-    lines.append(request.body)
     return b"".join(lines)
 
 
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -48,6 +48,7 @@
         "is_first_start": False,
         "link_mbps": 1_000.0,
         "memory_mb": 200.0,
+        "max_descriptors": 4_100,
         "bounds": bounds,
     } | fields
     return GatewaySettings(**values)
--- a/tests/gateway/test_hostile_messages.py
+++ b/tests/gateway/test_hostile_messages.py
@@ -118,6 +118,24 @@
     def close(self) -> None:
         self.is_closed = True
 
+    def abort(self) -> None:
+        self.is_closed = True
+
+    def write_eof(self) -> None:
+        """The caller may still send."""
+
+    def set_write_buffer_limits(self, *, high: int) -> None:
+        """Everything is sent at once."""
+
+    def pause_reading(self) -> None:
+        """The data of a test arrives in any case."""
+
+    def resume_reading(self) -> None:
+        """See ``pause_reading``."""
+
+    def get_extra_info(self, name: str) -> object:
+        return ("127.0.0.1", 1)
+
 
 def build_core(clock: ManualClock) -> Core:
     core = Core(
