--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -7,48 +7,24 @@
 from collections.abc import Callable
 
 from skylarkcart.clock import Millis
-from skylarkcart.gateway._caller_service import CallerService, Exchange
-from skylarkcart.gateway._request_reader import (
-    ReadRequest,
-    RequestReader,
-    compute_largest_request,
+from skylarkcart.gateway._caller_limits import (
+    CONNECTION_BYTES,
+    DISCARD_MS,
+    MAX_PIPELINED_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    MAX_REQUESTS_PER_TURN,
+    NEW_CONNECTION_MAX_AGE_MS,
+    REQUEST_BYTES,
+    RETRY_AFTER_MS,
+    STATUS_UNAVAILABLE,
+    encode_refusal,
 )
+from skylarkcart.gateway._caller_service import CallerService, Exchange
+from skylarkcart.gateway._request_reader import PIECE_BYTES, ReadRequest, RequestReader
 from skylarkcart.platform._messages import encode_error_response
 from skylarkcart.published import CallerLimits
 from skylarkcart.receive import Activity, Refusal, Share
 
-# A caller that opens a connection for a request sends the request immediately; after
-# this age, the connection counts as reused.
-NEW_CONNECTION_MAX_AGE_MS = 5.0
-
-# While a request is in progress, so much of later ones is read on the same connection.
-MAX_PIPELINED_REQUESTS = 16
-MAX_PIPELINED_BYTES = 16_384
-
-# Data is parsed in pieces, so that what a caller sends beyond a limit is noticed.
-PIECE_BYTES = 16_384
-
-# Requests that may start one after the other before other connections have their turn.
-MAX_REQUESTS_PER_TURN = 16
-
-# Memory of a connection, and of a request in progress with its calls to upstreams.
-CONNECTION_BYTES = 8_192
-REQUEST_BYTES = 32_768
-
-# A caller that sends while it is refused gets the response only if the connection is
-# still read; so long and so many bytes of the largest body.
-DISCARD_MS = 500.0
-
-# Retry-After of a request that was refused for lack of memory.
-RETRY_AFTER_MS = 200.0
-
-STATUS_UNAVAILABLE = 503
-
-
-def compute_largest_share(limits: CallerLimits) -> int:
-    """Returns what a connection holds at most for one request in the limits."""
-    return CONNECTION_BYTES + REQUEST_BYTES + compute_largest_request(limits)
-
 
 class CallerConnection(asyncio.Protocol):
     """Reads requests, and writes responses in request order.
@@ -96,7 +72,7 @@
         # Until when data is read and dropped after the last response.
         self._discards_until: Millis | None = None
         self._discardable_bytes = 0
-        self._last_active_at = service.clock.now()
+        self._last_active_at = self._now = service.clock.now()
         self._opened_at = self._last_active_at
 
     @property
@@ -139,10 +115,10 @@
         if self._is_closing or self._is_rejecting:
             self._discard(len(data))
             return
-        now = self._service.clock.now()
-        self._share.record_progress(len(data), now)
+        self._now = self._backlog_arrived_at = self._service.clock.now()
+        if self._reader.is_reading:
+            self._share.record_progress(len(data), self._now)
         self._backlog = bytes(self._backlog) + data if self._backlog else data
-        self._backlog_arrived_at = now
         self._advance()
 
     def pause_writing(self) -> None:
@@ -151,7 +127,7 @@
     def resume_writing(self) -> None:
         self._is_sending = False
         self._unsent_bytes = 0
-        self._advance()
+        self._continue()
 
     def respond(self, data: bytes, *, closes: bool) -> None:
         """Sends the response to the current request."""
@@ -160,7 +136,7 @@
         self._handled_bytes = 0
         if self._transport is None or self._transport.is_closing():
             return
-        self._last_active_at = self._service.clock.now()
+        self._now = self._last_active_at = self._service.clock.now()
         self._transport.write(data)
         if self._is_sending:
             self._unsent_bytes = self._unsent_rest = len(data)
@@ -171,6 +147,7 @@
 
     def check_timeouts(self, now: Millis) -> None:
         """Enforces the timeouts for requests, responses and idle connections."""
+        self._now = now
         limits = self._service.get_caller_limits()
         if self._is_sending and not self._is_handling:
             self._check_sending(now, limits)
@@ -199,6 +176,11 @@
         if self.is_idle and not self._is_closing and idle_ms >= min_idle_ms:
             self._close()
 
+    def _continue(self) -> None:
+        """Advances at a later time than that of the last data or response."""
+        self._now = self._service.clock.now()
+        self._advance()
+
     def _advance(self) -> None:
         """Parses data and starts requests as far as they can proceed now."""
         if self._is_advancing:
@@ -209,7 +191,7 @@
             while not self._is_closing:
                 if self._queue and not self._is_handling and not self._is_sending:
                     if started == MAX_REQUESTS_PER_TURN:
-                        asyncio.get_running_loop().call_soon(self._advance)
+                        asyncio.get_running_loop().call_soon(self._continue)
                         break
                     started += 1
                     self._start_next()
@@ -261,7 +243,7 @@
             self._service.record_rejection(Refusal.MEMORY.value, STATUS_UNAVAILABLE)
             closes = self._service.closes_connections()
             self.respond(
-                _encode_refusal(
+                encode_refusal(
                     Refusal.MEMORY, request_id=read.request.request_id, closes=closes
                 ),
                 closes=closes,
@@ -290,15 +272,22 @@
         share = self._share
         if size == share.bytes_held:
             return True
-        return self._account.try_set(share, size, now=self._service.clock.now())
+        return self._account.try_set(share, size, now=self._now)
 
     def _settle(self) -> None:
         """Brings the account and the flow of data in line with the state."""
+        share = self._share
         activity = self._get_activity()
-        if activity is not self._share.activity:
-            self._share.begin(activity, self._service.clock.now())
+        if activity is not share.activity:
+            share.begin(activity, self._now)
+        if self._is_simple():
+            size = CONNECTION_BYTES + self._handled_bytes
+            if share.bytes_held == size or self._account.try_set(
+                share, size, now=self._now
+            ):
+                return
         if not self._hold() and not self._is_closing:
-            if self._is_sending:
+            if self._is_sending and not self._is_handling:
                 self._abort(Refusal.MEMORY.value)
             else:
                 self._reject(STATUS_UNAVAILABLE, Refusal.MEMORY.value)
@@ -310,6 +299,17 @@
             else:
                 self._transport.resume_reading()
 
+    def _is_simple(self) -> bool:
+        """Whether the connection holds nothing but a request in progress."""
+        return not (
+            self._backlog
+            or self._queue
+            or self._is_sending
+            or self._is_paused
+            or self._is_closing
+            or self._reader.is_reading
+        )
+
     def _get_activity(self) -> Activity:
         if self._is_handling:
             return Activity.HANDLING
@@ -376,8 +376,7 @@
         self._drop_requests()
         if discards and not self._is_sending:
             # Closing a connection with unread data resets it, and the response is lost.
-            limits = self._service.get_caller_limits()
-            self._discardable_bytes = limits.max_body_bytes
+            self._discardable_bytes = self._service.get_caller_limits().max_body_bytes
             self._discards_until = Millis(self._service.clock.now() + DISCARD_MS)
             if self._is_paused:
                 self._is_paused = False
@@ -397,13 +396,3 @@
         self._queued_bytes = 0
         self._backlog = b""
         self._reader.discard()
-
-
-def _encode_refusal(reason: Refusal, *, request_id: bytes, closes: bool) -> bytes:
-    return encode_error_response(
-        STATUS_UNAVAILABLE,
-        reason=reason.value,
-        request_id=request_id,
-        retry_after_ms=RETRY_AFTER_MS,
-        close_connection=closes,
-    )
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -21,7 +21,7 @@
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.exchange import UpstreamResponse
 from skylarkcart.fleet import UNKNOWN_RATE, Fleet
-from skylarkcart.gateway._caller_connection import compute_largest_share
+from skylarkcart.gateway._caller_limits import compute_largest_share
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
 from skylarkcart.gateway._pool import UpstreamPool
--- a/src/skylarkcart/gateway/_request_reader.py
+++ b/src/skylarkcart/gateway/_request_reader.py
@@ -13,6 +13,9 @@
 from skylarkcart.platform._messages import decode_request
 from skylarkcart.published import CallerLimits
 
+# Data is parsed in pieces, so that what a caller sends beyond a limit is noticed.
+PIECE_BYTES = 16_384
+
 # Memory of one header beyond its bytes: two byte strings, a tuple and a list entry.
 HEADER_FIELD_BYTES = 200
 
@@ -49,7 +52,8 @@
     max_headers = limits.max_header_bytes // MIN_HEADER_BYTES
     return int(
         DECODED_REQUEST_BYTES
-        + limits.max_header_bytes
+        + PIECE_BYTES
+        + 2 * limits.max_header_bytes
         + HEADER_FIELD_BYTES * max_headers
         + BODY_GROWTH_FACTOR * limits.max_body_bytes
     )
@@ -76,9 +80,10 @@
         self._on_continue = on_continue
         self._on_request = on_request
         self._now = Millis(0.0)
-        self._limits = get_limits()
+        self._set_limits(get_limits())
         # Bytes since the last one of a body, or since a message or its body began.
         self._bytes_without_body = 0
+        self._piece_bytes = 0
         self.rejection: Rejection | None = None
         # Whether the caller closes the connection, or changes its protocol, after the
         # last request.
@@ -101,8 +106,9 @@
         body_bytes = len(self._body)
         if with_expected:
             body_bytes = max(self._expected_body_bytes, body_bytes)
-        size = self._head_size + int(BODY_GROWTH_FACTOR * body_bytes)
-        return size + self._bytes_without_body if self._is_reading_head else size
+        # The parser keeps an incomplete header or trailer, from the last piece on.
+        parser_bytes = self._bytes_without_body + self._piece_bytes
+        return self._head_size + int(BODY_GROWTH_FACTOR * body_bytes) + parser_bytes
 
     @property
     def _head_size(self) -> int:
@@ -115,8 +121,9 @@
     def feed(self, data: bytes | memoryview, now: Millis) -> None:
         """Parses data that arrived at ``now``."""
         self._now = now
-        self._bytes_without_body += len(data)
-        self._message_bytes += len(data)
+        self._piece_bytes = len(data)
+        self._bytes_without_body += self._piece_bytes
+        self._message_bytes += self._piece_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -124,16 +131,20 @@
             self.has_last_request = True
         except httptools.HttpParserError:
             self._reject(400, "malformed_request")
-        self._check_sizes()
+        if self._bytes_without_body > self._limits.max_header_bytes:
+            self._reject_endless_part()
+        elif self._message_bytes > self._max_message_bytes:
+            self._reject(413, "framing_too_large")
 
     def discard(self) -> None:
         """Drops an incomplete request."""
         self._begin_message()
 
     def on_message_begin(self) -> None:
-        self._begin_message()
         self.is_reading = True
         self._is_reading_head = True
+        self._bytes_without_body = 0
+        self._message_bytes = 0
         self.arrived_at = self._now
 
     def on_url(self, url: bytes) -> None:
@@ -150,16 +161,15 @@
         if self.rejection is not None:
             return
         self._headers.append((name, value))
-        lower_name = name.lower()
-        if lower_name == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-        elif lower_name == b"content-length":
+        if len(name) == len(b"expect") and name.lower() == b"expect":
+            self._expects_continue = value.lower() == b"100-continue"
+        elif len(name) == len(b"content-length") and name.lower() == b"content-length":
             self._expected_body_bytes = int(value)
 
     def on_headers_complete(self) -> None:
         self._is_reading_head = False
         self._bytes_without_body = 0
-        self._limits = self._get_limits()
+        self._set_limits(self._get_limits())
         if self.rejection is not None:
             return
         if self._header_bytes + len(self._target) > self._limits.max_header_bytes:
@@ -212,20 +222,19 @@
             )
         )
 
-    def _check_sizes(self) -> None:
-        limits = self._limits
-        if self._bytes_without_body > limits.max_header_bytes:
-            if self._is_reading_head:
-                self._reject(431, "header_too_large")
-            elif self.is_reading:
-                self._reject(431, "trailers_too_large")
-            else:
-                self._reject(400, "empty_lines")
-        elif (
-            self._message_bytes
-            > 2 * limits.max_header_bytes + MAX_FRAMING_FACTOR * limits.max_body_bytes
-        ):
-            self._reject(413, "framing_too_large")
+    def _set_limits(self, limits: CallerLimits) -> None:
+        self._limits = limits
+        self._max_message_bytes = (
+            2 * limits.max_header_bytes + MAX_FRAMING_FACTOR * limits.max_body_bytes
+        )
+
+    def _reject_endless_part(self) -> None:
+        if self._is_reading_head:
+            self._reject(431, "header_too_large")
+        elif self.is_reading:
+            self._reject(431, "trailers_too_large")
+        else:
+            self._reject(400, "empty_lines")
 
     def _begin_message(self) -> None:
         self._target = bytearray()
--- a/src/skylarkcart/platform/_messages.py
+++ b/src/skylarkcart/platform/_messages.py
@@ -55,6 +55,7 @@
 _GATEWAY_HEADERS = frozenset(
     (names.TIME_LEFT, names.API_KEY, names.ACCOUNT, names.EXPECTED_UPSTREAM)
 )
+_DROPPED_REQUEST_HEADERS = _HOP_BY_HOP_HEADERS | _GATEWAY_HEADERS
 _INTERNAL_RESPONSE_HEADERS = frozenset(
     (names.LOAD, names.NOT_RUN, names.RESPONDING_UPSTREAM, names.LEAVING)
 )
@@ -72,8 +73,9 @@
     fields: dict[bytes, list[bytes]] = {}
     for name, value in headers:
         fields.setdefault(name.lower(), []).append(value)
-    dropped = _HOP_BY_HOP_HEADERS | _GATEWAY_HEADERS
-    dropped |= _list_connection_options(fields.get(b"connection", ()))
+    dropped: Set[bytes] = _DROPPED_REQUEST_HEADERS
+    if b"connection" in fields:
+        dropped = dropped | _list_connection_options(fields[b"connection"])
     forwarded_headers = _encode_headers(headers, dropped)
     request_id = _get_single_value(fields, names.REQUEST_ID)
     if not request_id:
--- a/src/skylarkcart/receive/_account.py
+++ b/src/skylarkcart/receive/_account.py
@@ -179,29 +179,31 @@
         for share in self.shares:
             by_address[share.address] += share.bytes_held
         own = by_address[asking.address] + growth
-
-        def is_candidate(share: Share) -> bool:
-            if share is asking or share.activity is Activity.HANDLING:
-                return False
-            if _may_give_way(share, now):
-                return True
-            # Of two addresses, the one that holds more gives way, if it still holds
-            # as much as the other one afterwards.
-            return (
-                share.address != asking.address
-                and by_address[share.address] - share.bytes_held >= own
-            )
-
-        return sorted(
-            filter(is_candidate, self.shares),
+        candidates = sorted(
+            (
+                share
+                for share in self.shares
+                if share is not asking and share.activity is not Activity.HANDLING
+            ),
             key=lambda share: (
-                not share.has_stalled(now),
+                not _may_give_way(share, now),
                 share.activity is Activity.IDLE,
                 -by_address[share.address],
                 -share.bytes_held,
                 share.progressed_at,
             ),
         )
+        result = []
+        for share in candidates:
+            rest = by_address[share.address] - share.bytes_held
+            # Moving ones give way only while their address still holds as much as the
+            # asking one.
+            if _may_give_way(share, now) or (
+                share.address != asking.address and rest >= own
+            ):
+                by_address[share.address] = rest
+                result.append(share)
+        return result
 
     def _free_connections(self, now: Millis) -> bool:
         """Closes some of the connections that are least in use."""
