Let the oldest of equal connections give way

The choice among equal connections followed addresses in memory, so that test_stalled_body_gives_way_with_a_response failed in one of several runs.

--- a/src/skylarkcart/receive/_account.py
+++ b/src/skylarkcart/receive/_account.py
@@ -111,7 +111,8 @@
         super().__init__(size=size)
         self._given_size = size
         self.max_connections = max_connections
-        self.shares: set[Share] = set()
+        # Ordered, so that the oldest of equal connections gives way.
+        self.shares: dict[Share, None] = {}
         self._search_at = Millis(float("-inf"))
 
     def fit_largest_request(self, size: int) -> None:
@@ -126,14 +127,14 @@
         if len(self.shares) >= self.max_connections and not self._free_connections(now):
             return None
         share = Share(address=address, give_way=give_way, now=now)
-        self.shares.add(share)
+        self.shares[share] = None
         return share
 
     def close(self, share: Share) -> None:
         """Removes a connection and all that it holds."""
         if share.is_open:
             share.is_open = False
-            self.shares.discard(share)
+            self.shares.pop(share, None)
             self.held -= share.bytes_held
             share.bytes_held = 0
 
--- a/tests/receive/test_account.py
+++ b/tests/receive/test_account.py
@@ -100,7 +100,7 @@
     def holds_what_its_shares_hold(self) -> None:
         held = sum(share.bytes_held for share in self.shares)
         assert self.account.held == held <= self.account.size
-        assert self.account.shares == set(self.shares)
+        assert set(self.account.shares) == set(self.shares)
         assert len(self.shares) <= self.account.max_connections
 
     def teardown(self) -> None:
