--- a/tests/callers/crowds.py
+++ b/tests/callers/crowds.py
@@ -154,12 +154,14 @@
         self._socket.close()
 
 
-async def play_crowd(crowd: Crowd, *, host: str, port: int) -> list[CrowdMember]:
+async def play_crowd(
+    crowd: Crowd, *, host: str, port: int, timeout_s: float = PLAY_TIMEOUT_S
+) -> list[CrowdMember]:
     """Opens all connections at once; they stay open until their members leave."""
     members = [
         CrowdMember(crowd=crowd, host=host, port=port) for _ in range(crowd.connections)
     ]
-    await _run_all([member.play() for member in members], PLAY_TIMEOUT_S)
+    await _run_all([member.play() for member in members], timeout_s)
     return members
 
 
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -217,6 +217,9 @@
             await asyncio.sleep(pause_s)
             self.start_gateway(number)
 
+    def choose_host(self) -> str:
+        return self.rng.choice(self._hosts)
+
     def list_memory_violations(self) -> list[str]:
         return self._processes.list_memory_violations()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from tests.callers.crowds import CROWDS, play_crowd
 from tests.soak.environment import (
     GATEWAY_COUNT,
     STOP_GRACE_S,
@@ -29,6 +30,8 @@
 # Minimum ratio of requests with status 200 after all faults have ended.
 MIN_SERVED_RATIO = 0.9
 
+CROWD_CONNECTIONS = 40
+
 Step = Callable[[SoakEnvironment], Awaitable[None]]
 
 
@@ -192,6 +195,20 @@
     await environment.store.delete(key)
 
 
+async def send_crowd(environment: SoakEnvironment) -> None:
+    """Opens connections of callers outside the limits at one gateway."""
+    crowd = CROWDS[environment.rng.choice(list(CROWDS))]
+    members = await play_crowd(
+        msgspec.structs.replace(crowd, connections=CROWD_CONNECTIONS),
+        host=environment.choose_host(),
+        port=8363,
+        timeout_s=environment.rng.uniform(0.5, 4.0),
+    )
+    await asyncio.sleep(environment.rng.uniform(0.0, 2.0))
+    for member in members:
+        member.leave()
+
+
 # The largest value that the store holds.
 LARGE_VALUE_BYTES = 1_048_576
 
@@ -243,8 +260,11 @@
 )
 
 
+CALLER_STEPS = (*LATEST_STEPS, send_crowd, send_crowd, send_crowd)
+
+
 async def run_seed(
-    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = LATEST_STEPS
+    seed: int, folder: pathlib.Path, *, choices: tuple[Step, ...] = CALLER_STEPS
 ) -> SoakResult:
     """Runs a seed's steps against an environment of its own."""
     environment = SoakEnvironment(seed=seed, folder=folder)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,10 +7,22 @@
 import msgspec
 import pytest
 
-from tests.soak.faults import ALL_STEPS, LATEST_STEPS, STEPS, run_seed
+from tests.soak.faults import (
+    ALL_STEPS,
+    CALLER_STEPS,
+    LATEST_STEPS,
+    STEPS,
+    run_seed,
+)
 from tests.soak.ledger import Ledger, Refusal, Run, SentRequest
 
-SEEDS = ((1, STEPS), (2, STEPS), (3, ALL_STEPS), (4, LATEST_STEPS))
+SEEDS = (
+    (1, STEPS),
+    (2, STEPS),
+    (3, ALL_STEPS),
+    (4, LATEST_STEPS),
+    (5, CALLER_STEPS),
+)
 
 
 @pytest.mark.parametrize(("seed", "choices"), SEEDS)
