--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -192,6 +192,8 @@
         core.metrics.state_revision.set(core.registry.revision)
         core.metrics.state_era.set(core.registry.era)
         core.metrics.configuration_version.set(core.configuration_version)
+        core.metrics.caller_bytes.set(core.caller_account.held)
+        core.metrics.caller_connections.set(len(core.caller_account.shares))
 
     def _update_readiness(self, reason: str | None, now: Millis) -> None:
         core = self._core
--- a/src/skylarkcart/platform/_messages.py
+++ b/src/skylarkcart/platform/_messages.py
@@ -57,6 +57,7 @@
 _GATEWAY_HEADERS = frozenset(
     (names.TIME_LEFT, names.API_KEY, names.ACCOUNT, names.EXPECTED_UPSTREAM)
 )
+_DROPPED_REQUEST_HEADERS = _HOP_BY_HOP_HEADERS | _GATEWAY_HEADERS
 _INTERNAL_RESPONSE_HEADERS = frozenset(
     (names.LOAD, names.NOT_RUN, names.RESPONDING_UPSTREAM, names.LEAVING)
 )
@@ -74,8 +75,9 @@
     fields: dict[bytes, list[bytes]] = {}
     for name, value in headers:
         fields.setdefault(name.lower(), []).append(value)
-    dropped = _HOP_BY_HOP_HEADERS | _GATEWAY_HEADERS
-    dropped |= _list_connection_options(fields.get(b"connection", ()))
+    dropped: Set[bytes] = _DROPPED_REQUEST_HEADERS
+    if b"connection" in fields:
+        dropped = dropped | _list_connection_options(fields[b"connection"])
     forwarded_headers = _encode_headers(headers, dropped)
     request_id = _get_single_value(fields, names.REQUEST_ID)
     if not request_id:
@@ -97,14 +99,14 @@
     )
 
 
-def encode_upstream_request(
+def encode_upstream_head(
     request: CallerRequest,
     *,
     upstream: UpstreamId,
     time_left_ms: float,
     account: AccountId | None,
 ) -> bytes:
-    """Encodes a request to an upstream with the caller's method, target and body."""
+    """Encodes the head of a request to an upstream; the caller's body follows it."""
     lines = [
         request.method + b" " + request.target + b" HTTP/1.1" + CRLF,
         request.forwarded_headers,
@@ -116,7 +118,6 @@
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
     lines.append(CRLF)
-    lines.append(request.body)
     return b"".join(lines)
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 
 from tests.soak.faults import (
     ALL_STEPS,
+    CALLER_STEPS,
     LATEST_STEPS,
     RESTORING_STEPS,
     STEPS,
@@ -22,6 +23,7 @@
     (3, ALL_STEPS),
     (4, LATEST_STEPS),
     (5, RESTORING_STEPS),
+    (5, CALLER_STEPS),
 )
 
 
