Bound the memory and the noise of the estimate of load

One call in a pause moved an upstream's pace by up to 0.3 for a minute, and the mean work factor followed single reports; both move slowly now.

--- a/src/skylarkcart/load/_upstream.py
+++ b/src/skylarkcart/load/_upstream.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import functools
 import random
 
 from skylarkcart.clock import Millis
 from skylarkcart.exchange import ReportedLoad
-from skylarkcart.load._regression import LagRegression
+from skylarkcart.load._regression import (
+    MAX_CLASSED_AGE_MS,
+    LagRegression,
+    get_age_class,
+)
 from skylarkcart.load._statistics import LoadStatistics
 
 # Cautious priors: calls last for some tens of milliseconds, a queue about as long as a
@@ -18,21 +23,26 @@
 FACTOR_HALF_LIFE_MS = 20.0
 FACTOR_VARIANCE = 0.04
 
-# Weight of one report in the moving averages of an upstream and of its service.
+# Weight of one report in the moving averages of an upstream and of its service. Work
+# factors vary more than their means differ, so that an upstream's mean starts as if
+# this many of its reports had stated that of its service.
 UPSTREAM_MEAN_WEIGHT = 0.15
 SERVICE_MEAN_WEIGHT = 0.05
+FACTOR_MEAN_WEIGHT = 0.05
+FACTOR_PRIOR_REPORTS = 5.0
 
 # Without news for longer than this, the mean of others' calls halves in the half-life,
 # so that an upstream that once was full is tried again.
 NEWS_MAX_AGE_MS = 2_000.0
 MEAN_HALF_LIFE_MS = 8_000.0
 
-# The pace starts as if this many calls had taken their typical time. One call moves it
-# by at most the weight, and pauses don't count fully.
-PACE_PRIOR_CALLS = 5.0
-PACE_WEIGHT = 0.05
-MIN_PACE = 0.25
-MAX_PACE = 4.0
+# The pace starts as if this many calls had taken their typical time. A call that met a
+# pause moves it no further than one that took half a typical time longer.
+PACE_PRIOR_CALLS = 10.0
+PACE_WEIGHT = 0.03
+MAX_PACE_CHANGE = 0.5
+MIN_PACE = 0.5
+MAX_PACE = 2.0
 
 # What a report that contradicts the call's end leaves of the trust in the upstream's
 # reports, and the trust that each other report restores.
@@ -50,17 +60,6 @@
 
     def __init__(self, *, statistics: LoadStatistics | None = None) -> None:
         self.statistics = LoadStatistics() if statistics is None else statistics
-        # A queue often has a cause that lasts longer than the usual variation, so its
-        # reports are weighed on their own.
-        self.calls = LagRegression(
-            half_life_ms=CALLS_HALF_LIFE_MS, variance=CALLS_VARIANCE
-        )
-        self.queued_calls = LagRegression(
-            half_life_ms=QUEUED_HALF_LIFE_MS, variance=QUEUED_VARIANCE
-        )
-        self.factor = LagRegression(
-            half_life_ms=FACTOR_HALF_LIFE_MS, variance=FACTOR_VARIANCE
-        )
         # Whether an upstream of the service has stated a work factor.
         self.is_reported = False
         # Waiting calls at which upstreams refuse further ones, as far as known.
@@ -69,6 +68,21 @@
         self.mean_factor = 1.0
         self._reports = 0
 
+    # Services whose upstreams report nothing need no regressions.
+
+    @functools.cached_property
+    def calls(self) -> LagRegression:
+        return LagRegression(half_life_ms=CALLS_HALF_LIFE_MS, variance=CALLS_VARIANCE)
+
+    @functools.cached_property
+    def queued_calls(self) -> LagRegression:
+        """Weighs reports of a queue, which often has a cause that lasts longer."""
+        return LagRegression(half_life_ms=QUEUED_HALF_LIFE_MS, variance=QUEUED_VARIANCE)
+
+    @functools.cached_property
+    def factor(self) -> LagRegression:
+        return LagRegression(half_life_ms=FACTOR_HALF_LIFE_MS, variance=FACTOR_VARIANCE)
+
     def record(self, *, calls: float, factor: float, trust: float) -> None:
         """Updates the means with a report's calls of others and work factor."""
         self.is_reported = True
@@ -154,8 +168,11 @@
         if weight < UPSTREAM_MEAN_WEIGHT:
             weight = UPSTREAM_MEAN_WEIGHT
         self._mean_calls += weight * calls_change
-        self._mean_factor += weight * factor_change
         self._calls_deviation = (1.0 - weight) * calls_change
+        weight = 1.0 / (self._reports + FACTOR_PRIOR_REPORTS)
+        if weight < FACTOR_MEAN_WEIGHT:
+            weight = FACTOR_MEAN_WEIGHT
+        self._mean_factor += weight * factor_change
         self._factor_deviation = (1.0 - weight) * factor_change
         self.reported_at = now
         self.has_report = True
@@ -164,13 +181,13 @@
         """Records the time of a call without a queue, relative to its typical time."""
         self._pace_calls += 1.0
         weight = max(PACE_WEIGHT, 1.0 / self._pace_calls)
-        ratio = min(max(MIN_PACE, ratio), MAX_PACE)
-        self._pace += weight * (ratio - self._pace)
+        change = min(max(-MAX_PACE_CHANGE, ratio - self._pace), MAX_PACE_CHANGE)
+        self._pace = min(max(MIN_PACE, self._pace + weight * change), MAX_PACE)
 
     def expect_calls(self, now: Millis, own_calls: int) -> float:
         """Returns the expected calls that run and wait there now, own ones included."""
         age_ms = now - self.reported_at
-        weight = self._regression.weights[int(age_ms).bit_length()]
+        weight = self._regression.weights[get_age_class(age_ms)]
         others = self._get_mean_calls(age_ms) + weight * self._calls_deviation
         return own_calls + max(0.0, others)
 
@@ -182,11 +199,14 @@
         The calls are drawn from their distribution for now, with own ones included.
         """
         age_ms = now - self.reported_at
-        age_class = int(age_ms).bit_length()
-        regression = self._regression
         mean = self._mean_calls
-        if age_ms > NEWS_MAX_AGE_MS:
+        if age_ms < MAX_CLASSED_AGE_MS:
+            # Written out, as this runs for each upstream that is compared.
+            age_class = int(age_ms).bit_length()
+        else:
+            age_class = get_age_class(age_ms)
             mean = self._get_mean_calls(age_ms)
+        regression = self._regression
         others = (
             mean
             + regression.weights[age_class] * self._calls_deviation
@@ -200,7 +220,7 @@
 
     def get_slowness(self, now: Millis) -> float:
         """Returns the expected time of work there now, relative to its typical time."""
-        weight = self._service.factor.weights[int(now - self.reported_at).bit_length()]
+        weight = self._service.factor.weights[get_age_class(now - self.reported_at)]
         factor = self._mean_factor + weight * self._factor_deviation
         return self._pace * factor
 
--- a/src/skylarkcart/replicas/_even_choice.py
+++ b/src/skylarkcart/replicas/_even_choice.py
@@ -182,11 +182,14 @@
         *,
         now: Millis,
         tried: Collection[UpstreamId],
-        may_call: Callable[[Replica, Millis], bool],
+        may_call: Callable[[Replica, Millis], bool] | None,
         get_access: Callable[[Replica], Access],
         connect_cost: float,
     ) -> Replica | None:
-        """Returns the best of some upstreams, by draws from what is known of them."""
+        """Returns the best of some upstreams, by draws from what is known of them.
+
+        ``may_call`` is given if calls to cold upstreams of the service are limited.
+        """
         order = self._get_order(service)
         load = self._loads[service]
         best: Replica | None = None
@@ -201,7 +204,7 @@
                     break
                 if replica.entry.upstream in tried or not replica.accepts_calls(now):
                     continue
-                if not may_call(replica, now):
+                if may_call is not None and not may_call(replica, now):
                     continue
                 cost = estimate_time(replica, load, now, self._random)
                 if is_remote:
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -175,7 +175,7 @@
                 service,
                 now=now,
                 tried=tried,
-                may_call=self._may_call,
+                may_call=self._may_call if service in self.cold_calls_per_s else None,
                 get_access=get_access,
                 connect_cost=connect_cost,
             )
