--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -78,7 +78,7 @@
 class _Tenant(_Document, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: Integer = 0
+    priority: Integer | None = None
     rate_per_s: float = 0.0
     burst: float = 0.0
 
--- a/src/skylarkcart/published.py
+++ b/src/skylarkcart/published.py
@@ -89,11 +89,14 @@
 
 
 class Account(msgspec.Struct, frozen=True, kw_only=True):
-    """A client account. With a ``rate_per_s`` of 0, its rate is not limited."""
+    """A client account. With a ``rate_per_s`` of 0, its rate is not limited.
+
+    Its ``priority``, if stated, goes before the one of the route.
+    """
 
     account: AccountId
     keys: tuple[str, ...]
-    priority: int
+    priority: int | None
     rate_per_s: float
     burst: float
 
