Ask for room before the first call of a request

Reports of upstreams with a work factor reach admission at the end of calls; a request of a service where priorities compete is decided before its exchange exists. Second calls give way, and a search leaves out shards without room.

--- a/src/skylarkcart/admission/_admission.py
+++ b/src/skylarkcart/admission/_admission.py
@@ -109,14 +109,16 @@
         self, service: ServiceId, *, started_at: Millis, work_ms: float, now: Millis
     ) -> None:
         """Compares the time of an answered call with the wait that was announced."""
-        if now > self._suspect_until:
-            return
         evidence = self._evidence.get(service)
         if evidence is not None:
             evidence.record_answer(
                 started_at=started_at, elapsed_ms=now - started_at, work_ms=work_ms
             )
 
+    def is_suspecting(self, now: Millis) -> bool:
+        """Whether any service was reported to be full a short time ago."""
+        return now <= self._suspect_until
+
     def is_reporting(self, service: ServiceId) -> bool:
         """Whether admission takes effect at a service."""
         return service in self._reporting
@@ -134,7 +136,7 @@
                 retry_after_ms=MIN_RETRY_AFTER_MS,
             )
         self._record_demand(request, now)
-        if now > self._suspect_until:
+        if not self.is_suspecting(now):
             return ADMITTED
         return self._decide_suspect(request, get_room, share=share, now=now)
 
@@ -151,7 +153,7 @@
         Hedges of less urgent requests give way; other second calls are made only if
         they can answer in time, or, as retries, before the deadline.
         """
-        if now > self._suspect_until:
+        if not self.is_suspecting(now):
             return True
         evidence = self._evidence.get(service)
         if evidence is None or not evidence.is_short or not evidence.is_suspect(now):
@@ -188,6 +190,7 @@
         )
 
     def _record_demand(self, request: AdmissionRequest, now: Millis) -> None:
+        self._demand.record_work(request.services, request.work_ms)
         if request.is_returning or request.was_held:
             # What is left of its time says nothing about others of its kind.
             return
@@ -219,6 +222,7 @@
             self._evidence,
             get_room,
             tolerable_ms=max(MIN_TOLERABLE_MS, tolerable_ms),
+            work_ms=self._demand.get_mean_work_ms(request.services),
             now=now,
         )
         if shortage is None:
@@ -276,8 +280,13 @@
         pressure: Pressure,
         now: Millis,
     ) -> AdmissionDecision:
-        """Admits a request and leaves out the shards that can't answer it in time."""
+        """Admits a request and leaves out the shards that can't answer it in time.
+
+        If the others can't either, only those that can't before the deadline.
+        """
         limit_ms = request.get_tolerable_wait_ms(now)
+        if shortage.get_wait_ms(request.needed) > limit_ms:
+            limit_ms = request.hard_deadline - now - request.work_ms
         late = [name for name, wait_ms in shortage.waits.items() if wait_ms > limit_ms]
         late.sort(key=shortage.waits.__getitem__, reverse=True)
         left_out = frozenset(late[: len(request.services) - request.needed])
--- a/src/skylarkcart/admission/_demand.py
+++ b/src/skylarkcart/admission/_demand.py
@@ -13,6 +13,9 @@
 # Less urgent requests give way to a priority for this time after a request of it.
 DEMAND_MEMORY_MS = 10_000.0
 
+# Weight of one request in the moving average of the work of calls.
+WORK_WEIGHT = 0.1
+
 
 class UrgentDemand(msgspec.Struct, frozen=True, kw_only=True):
     """Recent requests of the highest priority.
@@ -37,6 +40,16 @@
 
     def __init__(self) -> None:
         self._by_services: dict[tuple[ServiceId, ...], dict[int, _PriorityDemand]] = {}
+        self._mean_work_ms: dict[tuple[ServiceId, ...], float] = {}
+
+    def record_work(self, services: tuple[ServiceId, ...], work_ms: float) -> None:
+        """Records how long the calls of a request take without waiting."""
+        mean_ms = self._mean_work_ms.get(services, work_ms)
+        self._mean_work_ms[services] = mean_ms + WORK_WEIGHT * (work_ms - mean_ms)
+
+    def get_mean_work_ms(self, services: tuple[ServiceId, ...]) -> float:
+        """Returns the mean work of the calls of recent requests of all priorities."""
+        return self._mean_work_ms.get(services, 0.0)
 
     def record(
         self,
@@ -76,6 +89,8 @@
         kept = frozenset(used)
         for services in set(self._by_services) - kept:
             del self._by_services[services]
+        for services in set(self._mean_work_ms) - kept:
+            del self._mean_work_ms[services]
 
 
 def find_contended_services(configuration: Configuration) -> dict[ServiceId, int]:
--- a/src/skylarkcart/admission/_shortage.py
+++ b/src/skylarkcart/admission/_shortage.py
@@ -9,7 +9,8 @@
 from skylarkcart.clock import Millis
 from skylarkcart.types import ServiceId
 
-GetRoom = Callable[[ServiceId], Room | None]
+# Returns the room of a service where a typical call takes so many milliseconds.
+GetRoom = Callable[[ServiceId, float], Room | None]
 
 # Full reports of services that one search calls together, from which the shortage of
 # each counts as shown.
@@ -70,11 +71,13 @@
     get_room: GetRoom,
     *,
     tolerable_ms: float,
+    work_ms: float,
     now: Millis,
 ) -> Shortage | None:
     """Returns which of the services are short of room, or None if none is.
 
     The room is asked for only of services that were reported to be full lately.
+    ``work_ms`` is the typical work of their calls.
     """
     suspects = {
         name: evidence[name]
@@ -88,7 +91,7 @@
     waits: dict[ServiceId, float] = {}
     rooms: dict[ServiceId, Room] = {}
     for name, each in suspects.items():
-        room = get_room(name)
+        room = get_room(name, work_ms)
         wait_ms = each.update(
             room, tolerable_ms=tolerable_ms, is_proven=is_proven, now=now
         )
--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -83,6 +83,19 @@
             not self._is_handling and not self._is_reading_message and not self._queue
         )
 
+    @property
+    def peer_host(self) -> str:
+        """The address that the caller connected from."""
+        name = None
+        if self._transport is not None:
+            name = self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of responses that the network has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def is_new(self, arrived_at: Millis) -> bool:
         """Whether the connection was opened for a request that just arrived."""
         return arrived_at - self._opened_at <= NEW_CONNECTION_MAX_AGE_MS
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -8,6 +8,7 @@
 import traceback
 from collections.abc import Sequence
 
+from skylarkcart.admission import Admission
 from skylarkcart.budgets import (
     ExtraCallBudget,
     ExtraCallClaim,
@@ -111,6 +112,7 @@
         self.drain: DrainSchedule | None = None
         self.registry = Registry(on_event=self._record_event)
         self.replicas = Replicas(zone=settings.zone, random=random)
+        self.admission = Admission()
         self.quotas = Quotas(
             initial_fill_fraction=(
                 1.0 if settings.is_first_start else INITIAL_FILL_FRACTION
@@ -240,6 +242,7 @@
     def _put_in_force(self, configuration: Configuration) -> None:
         table = RouteTable(configuration=configuration, random=self.random)
         self.quotas.configure(table.accounts, self.now)
+        self.admission.configure(configuration)
         self.table = table
         self._used_services = table.list_reachable_services()
         self.update_cold_call_rates()
--- a/src/skylarkcart/gateway/_exchange.py
+++ b/src/skylarkcart/gateway/_exchange.py
@@ -6,6 +6,8 @@
 import asyncio
 from collections.abc import Callable, Collection
 
+from skylarkcart.admission import AdmissionRequest
+from skylarkcart.budgets import ExtraCallKind
 from skylarkcart.clock import Millis
 from skylarkcart.gateway._completion import (
     MILLISECONDS_PER_SECOND,
@@ -14,9 +16,10 @@
 )
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._pool import Call, CallResult
+from skylarkcart.gateway._room_gate import record_call_end
 from skylarkcart.gateway._timing import RequestDeadlines
 from skylarkcart.published import Route
-from skylarkcart.types import AccountId
+from skylarkcart.types import AccountId, ServiceId
 from skylarkcart.verdict import RunVerdict
 
 # The typical latency of a route's calls is their median.
@@ -41,6 +44,8 @@
         self._account = account
         self._deadlines = deadlines
         self._latency = core.get_latency(route)
+        # Set where admission takes effect.
+        self.room_request: AdmissionRequest | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_at = deadlines.hard_deadline
 
@@ -70,7 +75,25 @@
             )
 
     def _handle_end(self, call: Call, result: CallResult) -> None:
-        self._run_step(lambda: self._apply_result(call, result))
+        self._run_step(lambda: self._apply_end(call, result))
+
+    def _apply_end(self, call: Call, result: CallResult) -> None:
+        record_call_end(self._core, call, result, self._latency)
+        self._apply_result(call, result)
+
+    def _may_call_again(self, service: ServiceId, kind: ExtraCallKind) -> bool:
+        """Whether a second call gives way to no other request."""
+        if self.room_request is None:
+            return True
+        may_call = self._core.admission.may_call_again(
+            self.room_request,
+            service,
+            is_hedge=kind is ExtraCallKind.HEDGE,
+            now=self._core.now,
+        )
+        if not may_call:
+            self._core.metrics.count_yielded_call(kind)
+        return may_call
 
     @abc.abstractmethod
     def _apply_result(self, call: Call, result: CallResult) -> None:
--- a/src/skylarkcart/gateway/_gather.py
+++ b/src/skylarkcart/gateway/_gather.py
@@ -68,6 +68,8 @@
         self._retries = 0
         self._shards_without_budget: set[ServiceId] = set()
         self._has_started = False
+        # Shards without room, which are not called.
+        self.left_out: frozenset[ServiceId] = frozenset()
         self._claim = ExtraCallClaim(rank=core.random.random())
 
     def start(self) -> None:
@@ -84,6 +86,9 @@
         if self._refuse_while_paused(now):
             return
         for part in self._execution.parts.values():
+            if part.shard in self.left_out:
+                self._execution.record_failure(part)
+                continue
             self._core.get_extra_calls(part.shard).record_request(now)
             if not self._call(part):
                 self._execution.record_failure(part)
@@ -226,6 +231,8 @@
         self._retries += 1
 
     def _try_extra_call(self, part: Part, kind: ExtraCallKind) -> bool:
+        if not self._may_call_again(part.shard, kind):
+            return False
         granted = self._core.try_extra_call(part.shard, kind, claim=self._claim)
         if not granted:
             self._shards_without_budget.add(part.shard)
@@ -367,8 +374,12 @@
 
     def _list_missing_shards(self) -> list[str]:
         return [
-            f"{part.shard}: {'lost' if part.has_failed else 'late'} at "
-            + ", ".join(part.tried)
+            (
+                f"{part.shard}: left out"
+                if part.shard in self.left_out
+                else f"{part.shard}: {'lost' if part.has_failed else 'late'} at "
+                + ", ".join(part.tried)
+            )
             for part in self._execution.parts.values()
             if not part.is_answered
         ]
--- a/src/skylarkcart/gateway/_instance.py
+++ b/src/skylarkcart/gateway/_instance.py
@@ -14,6 +14,7 @@
 from skylarkcart.gateway._peers import PeerLink, StateTransfer
 from skylarkcart.gateway._reader import StoreReader
 from skylarkcart.gateway._requests import RequestService
+from skylarkcart.gateway._room_gate import record_lateness, update_room_metrics
 from skylarkcart.gateway_settings import GatewaySettings
 from skylarkcart.lifecycle import DrainSchedule
 from skylarkcart.supervision import supervise
@@ -168,15 +169,22 @@
             core.preconnect,
             core.update_cold_call_rates,
             self._refresh_readiness,
+            lambda: update_room_metrics(core),
         )
         while True:
+            due_at = core.now + MAINTENANCE_INTERVAL_S * 1_000.0
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            self._record_lateness(core.now - due_at)
             for step in steps:
                 try:
                     step()
                 except Exception as error:
                     core.record_task_error("maintenance", error)
 
+    def _record_lateness(self, late_ms: float) -> None:
+        unsent = sum(connection.unsent_bytes for connection in self._connections)
+        record_lateness(self._core, late_ms=late_ms, unsent_bytes=unsent)
+
     def _check_connection_timeouts(self) -> None:
         for connection in list(self._connections):
             connection.check_timeouts(self._core.now)
--- a/src/skylarkcart/gateway/_metrics.py
+++ b/src/skylarkcart/gateway/_metrics.py
@@ -58,6 +58,37 @@
             for kind in ExtraCallKind
             for granted in (False, True)
         }
+        self._admissions = Counter(
+            "skylarkcart_gateway_admission",
+            "Decisions on requests at services where priorities compete for room",
+            ("decision", "priority", "reason"),
+            registry=registry,
+        )
+        yielded_calls = Counter(
+            "skylarkcart_gateway_yielded_calls",
+            "Second calls that were not made because room is short",
+            ("kind",),
+            registry=registry,
+        )
+        self._yielded_calls = {
+            kind: yielded_calls.labels(kind.value) for kind in ExtraCallKind
+        }
+        self._admission_counters: dict[tuple[str, int, str], Counter] = {}
+        self.short_services = Gauge(
+            "skylarkcart_gateway_short_services",
+            "Services that are short of room",
+            registry=registry,
+        )
+        self.room_wait = Gauge(
+            "skylarkcart_gateway_room_wait_seconds",
+            "Longest believed wait for a slot of a service that is short of room",
+            registry=registry,
+        )
+        self.room_trust = Gauge(
+            "skylarkcart_gateway_room_trust",
+            "Least trust in the reported load of a service, from 0 to 1",
+            registry=registry,
+        )
         self.missing_parts = Counter(
             "skylarkcart_gateway_missing_parts",
             "Shards left out of answers",
@@ -129,6 +160,18 @@
     def count_call(self, end: CallEnd) -> None:
         self._calls[end].inc()
 
+    def count_admission(self, decision: str, priority: int, reason: str) -> None:
+        """Counts a decision on a request before its first call."""
+        key = (decision, priority, reason)
+        counter = self._admission_counters.get(key)
+        if counter is None:
+            counter = self._admissions.labels(decision, str(priority), reason)
+            self._admission_counters[key] = counter
+        counter.inc()
+
+    def count_yielded_call(self, kind: ExtraCallKind) -> None:
+        self._yielded_calls[kind].inc()
+
     def count_extra_call(self, kind: ExtraCallKind, *, granted: bool) -> None:
         self._extra_calls[kind, granted].inc()
 
--- a/src/skylarkcart/gateway/_relay.py
+++ b/src/skylarkcart/gateway/_relay.py
@@ -142,10 +142,7 @@
             may_retry
             and self._attempts < self._route.max_attempts
             and self._core.now < self._deadlines.hard_deadline
-            and (
-                not end.reached_upstream
-                or self._core.try_extra_call(self._service, ExtraCallKind.RETRY)
-            )
+            and (not end.reached_upstream or self._try_extra_call(ExtraCallKind.RETRY))
             and self._call()
         ):
             return
@@ -221,11 +218,14 @@
                 self._core.pool.abandon(unsent)
                 self._attempts -= 1
                 self._call_ends.append(f"{unsent.upstream}: unsent")
-        elif self._may_hedge() and self._core.try_extra_call(
-            self._service, ExtraCallKind.HEDGE
-        ):
+        elif self._may_hedge() and self._try_extra_call(ExtraCallKind.HEDGE):
             self._call()
 
+    def _try_extra_call(self, kind: ExtraCallKind) -> bool:
+        return self._may_call_again(self._service, kind) and self._core.try_extra_call(
+            self._service, kind
+        )
+
     def _fail_on_timeout(self) -> None:
         is_sent = any(call.is_sent for call in self._calls)
         verdict = self._verdict
--- a/src/skylarkcart/gateway/_requests.py
+++ b/src/skylarkcart/gateway/_requests.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from skylarkcart.admission import AdmissionRequest
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.exchange import CallerRequest
-from skylarkcart.gateway._admission import Refusal, admit
+from skylarkcart.gateway._admission import AdmittedRequest, Refusal, admit
 from skylarkcart.gateway._caller_connection import CallerConnection, Exchange
 from skylarkcart.gateway._completion import STATUS_INTERNAL_ERROR, RequestCompletion
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._gather import GatherExchange
 from skylarkcart.gateway._relay import RelayExchange
+from skylarkcart.gateway._room_gate import GatedRequest
 from skylarkcart.published import CallerLimits
+from skylarkcart.types import ServiceId
 from skylarkcart.verdict import RunVerdict
 
 
@@ -79,25 +82,58 @@
         route = admission.route
         completion.route_name = route.name
         core.record_request(route, completion.arrived_at)
-        exchange: GatherExchange | RelayExchange
         if route.gathering is not None:
+            services = route.gathering.shards
+        else:
+            services = (core.table.choose_service(route),)
+        if not core.admission.is_reporting(services[0]):
+            return self._start_calls(completion, admission, services)
+        gated = GatedRequest(
+            core=core,
+            completion=completion,
+            admitted=admission,
+            services=services,
+            caller=connection.peer_host,
+            start=lambda left_out, room_request: self._start_calls(
+                completion,
+                admission,
+                services,
+                left_out=left_out,
+                room_request=room_request,
+            ),
+        )
+        return gated.begin()
+
+    def _start_calls(
+        self,
+        completion: RequestCompletion,
+        admitted: AdmittedRequest,
+        services: tuple[ServiceId, ...],
+        *,
+        left_out: frozenset[ServiceId] = frozenset(),
+        room_request: AdmissionRequest | None = None,
+    ) -> Exchange:
+        exchange: GatherExchange | RelayExchange
+        if admitted.route.gathering is not None:
             completion.kind = "gather"
             exchange = GatherExchange(
-                core=core,
+                core=self._core,
                 completion=completion,
-                route=route,
-                account=admission.account,
-                deadlines=admission.deadlines,
+                route=admitted.route,
+                account=admitted.account,
+                deadlines=admitted.deadlines,
             )
+            exchange.left_out = left_out
         else:
             completion.kind = "relay"
             exchange = RelayExchange(
-                core=core,
+                core=self._core,
                 completion=completion,
-                route=route,
-                service=core.table.choose_service(route),
-                account=admission.account,
-                deadlines=admission.deadlines,
+                route=admitted.route,
+                service=services[0],
+                account=admitted.account,
+                deadlines=admitted.deadlines,
             )
+        exchange.room_request = room_request
         exchange.start()
         return exchange
--- a/tests/admission/model.py
+++ b/tests/admission/model.py
@@ -100,7 +100,7 @@
             for _ in range(count):
                 self.admission.record_report(service, is_full=wait_ms > 0, now=self.now)
 
-    def get_room(self, service: ServiceId) -> FakeRoom | None:
+    def get_room(self, service: ServiceId, work_ms: float) -> FakeRoom | None:
         self.asked_rooms += 1
         return self.rooms.get(service)
 
--- a/tests/admission/test_loads.py
+++ b/tests/admission/test_loads.py
@@ -175,6 +175,15 @@
         assert decision.left_out == {SHARDS[7]}
 
 
+def test_search_that_is_late_anyway_leaves_out_only_hopeless_shards() -> None:
+    """Parts that come late are still worth more to its caller than none."""
+    scene = build_search_scene()
+    scene.report(*SHARDS[:20], wait_ms=150)
+    scene.report(SHARDS[0], wait_ms=500)
+    decision = ask_quick(scene, is_returning=True)
+    assert decision.kind is ADMIT and decision.left_out == {SHARDS[0]}
+
+
 def test_search_that_cannot_reach_its_coverage_calls_no_shard() -> None:
     scene = build_search_scene()
     scene.report(*SHARDS[:6], wait_ms=900)
--- a/tests/gateway/standins.py
+++ b/tests/gateway/standins.py
@@ -186,6 +186,7 @@
         # With a time, the upstream refuses all requests and wants none for so long.
         self.retry_after: str | None = None
         self.refused: list[str] = []
+        self.load = "1,0,4"
 
     def describe(self, state: str = "ready") -> dict:
         return {
@@ -220,7 +221,7 @@
         fields = leaving | {
             "Request-Id": request,
             "Server-Stamp": f"{self.upstream}.{request}.{len(self.runs)}",
-            "Server-Load": "1,0,4",
+            "Server-Load": self.load,
         }
         return 200, fields, self.upstream.encode().ljust(16, b".")
 
