--- a/src/skylarkcart/admission/_admission.py
+++ b/src/skylarkcart/admission/_admission.py
@@ -7,7 +7,6 @@
 from skylarkcart.admission._callers import Callers
 from skylarkcart.admission._demand import (
     Demand,
-    UrgentDemand,
     find_contended_services,
     list_service_groups,
 )
@@ -19,6 +18,8 @@
     AdmissionKind,
     AdmissionReason,
     AdmissionRequest,
+    GroupKey,
+    get_group_key,
 )
 from skylarkcart.admission._pressure import (
     MIN_TOLERABLE_MS,
@@ -71,7 +72,7 @@
         self._callers = Callers()
         # Parts of requests that gave way, by services and priority. A request gives way
         # when they add up to a whole one.
-        self._pressure_sums: dict[tuple[tuple[ServiceId, ...], int], float] = {}
+        self._pressure_sums: dict[tuple[GroupKey, int], float] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Finds the contended services of a configuration that is put in force."""
@@ -80,9 +81,9 @@
         for service in self._evidence.keys() - self._contended.keys():
             del self._evidence[service]
         groups = {
-            group
+            get_group_key(services)
             for route in configuration.routes
-            for group in list_service_groups(route)
+            for services in list_service_groups(route)
         }
         self._demand.keep_only(groups)
         for key in [key for key in self._pressure_sums if key[0] not in groups]:
@@ -135,7 +136,9 @@
                 reason=AdmissionReason.INSTANCE_LATE,
                 retry_after_ms=MIN_RETRY_AFTER_MS,
             )
-        self._record_demand(request, now)
+        if not request.is_returning and not request.was_held:
+            # What is left of the time of others says nothing about their kind.
+            self._demand.record(request, now)
         if not self.is_suspecting(now):
             return ADMITTED
         return self._decide_suspect(request, get_room, share=share, now=now)
@@ -158,7 +161,7 @@
         evidence = self._evidence.get(service)
         if evidence is None or not evidence.is_short or not evidence.is_suspect(now):
             return True
-        if is_hedge and self._find_more_urgent(request, now):
+        if is_hedge and self._demand.find_more_urgent(request, now):
             return False
         limit = request.soft_deadline if is_hedge else request.hard_deadline
         return now + evidence.believed_wait_ms + request.work_ms <= limit
@@ -189,31 +192,11 @@
             late_ms > request.get_tolerable_wait_ms(now)
         )
 
-    def _record_demand(self, request: AdmissionRequest, now: Millis) -> None:
-        self._demand.record_work(request.services, request.work_ms)
-        if request.is_returning or request.was_held:
-            # What is left of its time says nothing about others of its kind.
-            return
-        self._demand.record(
-            request.services,
-            priority=request.priority,
-            tolerable_ms=request.get_tolerable_wait_ms(now),
-            needed=request.needed,
-            now=now,
-        )
-
-    def _find_more_urgent(
-        self, request: AdmissionRequest, now: Millis
-    ) -> list[UrgentDemand]:
-        return self._demand.find_more_urgent(
-            request.services, priority=request.priority, now=now
-        )
-
     def _decide_suspect(
         self, request: AdmissionRequest, get_room: GetRoom, *, share: float, now: Millis
     ) -> AdmissionDecision:
         """Decides a request while some service was reported to be full lately."""
-        more_urgent = self._find_more_urgent(request, now)
+        more_urgent = self._demand.find_more_urgent(request, now)
         tolerable_ms = request.get_tolerable_wait_ms(now)
         if more_urgent:
             tolerable_ms = more_urgent[0].tolerable_ms
@@ -222,7 +205,7 @@
             self._evidence,
             get_room,
             tolerable_ms=max(MIN_TOLERABLE_MS, tolerable_ms),
-            work_ms=self._demand.get_mean_work_ms(request.services),
+            work_ms=self._demand.get_mean_work_ms(request),
             now=now,
         )
         if shortage is None:
@@ -256,7 +239,7 @@
         if request.is_returning and pressure.reason is AdmissionReason.LATE:
             # A late answer is worth more to it than a second refusal.
             return self._admit(request, shortage, pressure, now)
-        key = (request.services, request.priority)
+        key = (request.group, request.priority)
         total = self._pressure_sums.get(key, 0.0) + self._callers.weigh(
             request, pressure.part
         )
--- a/src/skylarkcart/admission/_callers.py
+++ b/src/skylarkcart/admission/_callers.py
@@ -72,7 +72,7 @@
         """Hands out the next slot of the request's kind; returns the time until it."""
         return self._slots.reserve(
             _get_name(request),
-            (request.services, request.priority),
+            (request.group, request.priority),
             wait_ms=wait_ms,
             spacing_ms=spacing_ms,
             max_wait_ms=max_wait_ms,
@@ -87,4 +87,4 @@
 
 
 def _get_name(request: AdmissionRequest) -> Hashable:
-    return (request.account, request.caller, request.services, request.priority)
+    return (request.account, request.caller, request.group, request.priority)
--- a/src/skylarkcart/admission/_demand.py
+++ b/src/skylarkcart/admission/_demand.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Set
 
 import msgspec
 
+from skylarkcart.admission._messages import AdmissionRequest, GroupKey
 from skylarkcart.clock import Millis
 from skylarkcart.published import Configuration, Route
 from skylarkcart.types import ServiceId
@@ -29,68 +30,58 @@
     needed: int
 
 
-class _PriorityDemand(msgspec.Struct, kw_only=True):
-    seen_at: Millis
-    tolerable_ms: float
-    needed: int
+class _GroupDemand:
+    """Recent requests to one group of services."""
+
+    __slots__ = ("mean_work_ms", "latest")
+
+    def __init__(self, *, mean_work_ms: float) -> None:
+        self.mean_work_ms = mean_work_ms
+        # The latest request of each priority, and when it came.
+        self.latest: dict[int, tuple[Millis, AdmissionRequest]] = {}
 
 
 class Demand:
-    """Recent requests of each priority, by the services that they call."""
+    """Recent requests of each priority, by the group of services that they call."""
 
     def __init__(self) -> None:
-        self._by_services: dict[tuple[ServiceId, ...], dict[int, _PriorityDemand]] = {}
-        self._mean_work_ms: dict[tuple[ServiceId, ...], float] = {}
-
-    def record_work(self, services: tuple[ServiceId, ...], work_ms: float) -> None:
-        """Records how long the calls of a request take without waiting."""
-        mean_ms = self._mean_work_ms.get(services, work_ms)
-        self._mean_work_ms[services] = mean_ms + WORK_WEIGHT * (work_ms - mean_ms)
-
-    def get_mean_work_ms(self, services: tuple[ServiceId, ...]) -> float:
-        """Returns the mean work of the calls of recent requests of all priorities."""
-        return self._mean_work_ms.get(services, 0.0)
-
-    def record(
-        self,
-        services: tuple[ServiceId, ...],
-        *,
-        priority: int,
-        tolerable_ms: float,
-        needed: int,
-        now: Millis,
-    ) -> None:
-        priorities = self._by_services.setdefault(services, {})
-        demand = priorities.get(priority)
-        if demand is None:
-            priorities[priority] = _PriorityDemand(
-                seen_at=now, tolerable_ms=tolerable_ms, needed=needed
-            )
-            return
-        demand.seen_at = now
-        demand.tolerable_ms = tolerable_ms
-        demand.needed = needed
+        self._groups: dict[GroupKey, _GroupDemand] = {}
+
+    def record(self, request: AdmissionRequest, now: Millis) -> None:
+        """Records a request that comes for the first time."""
+        group = self._groups.get(request.group)
+        if group is None:
+            group = _GroupDemand(mean_work_ms=request.work_ms)
+            self._groups[request.group] = group
+        group.mean_work_ms += WORK_WEIGHT * (request.work_ms - group.mean_work_ms)
+        group.latest[request.priority] = (now, request)
+
+    def get_mean_work_ms(self, request: AdmissionRequest) -> float:
+        """Returns the mean work of recent requests, of all priorities, of its group."""
+        group = self._groups.get(request.group)
+        return request.work_ms if group is None else group.mean_work_ms
 
     def find_more_urgent(
-        self, services: tuple[ServiceId, ...], *, priority: int, now: Millis
+        self, request: AdmissionRequest, now: Millis
     ) -> list[UrgentDemand]:
         """Returns the recent demand of higher priorities, the most urgent first."""
-        priorities = self._by_services.get(services, {})
+        group = self._groups.get(request.group)
+        if group is None:
+            return []
         return [
             UrgentDemand(
-                priority=other, tolerable_ms=demand.tolerable_ms, needed=demand.needed
+                priority=priority,
+                tolerable_ms=latest.get_tolerable_wait_ms(seen_at),
+                needed=latest.needed,
             )
-            for other, demand in sorted(priorities.items())
-            if other < priority and now - demand.seen_at <= DEMAND_MEMORY_MS
+            for priority, (seen_at, latest) in sorted(group.latest.items())
+            if priority < request.priority and now - seen_at <= DEMAND_MEMORY_MS
         ]
 
-    def keep_only(self, used: Iterable[tuple[ServiceId, ...]]) -> None:
-        """Forgets the services that no route calls together any more."""
-        kept = frozenset(used)
-        for services in set(self._by_services) - kept:
-            del self._by_services[services]
-        for services in set(self._mean_work_ms) - kept:
-            del self._mean_work_ms[services]
+    def keep_only(self, used: Set[GroupKey]) -> None:
+        """Forgets the groups that no route calls any more."""
+        for group in self._groups.keys() - used:
+            del self._groups[group]
 
 
 def find_contended_services(configuration: Configuration) -> dict[ServiceId, int]:
--- a/src/skylarkcart/admission/_messages.py
+++ b/src/skylarkcart/admission/_messages.py
@@ -31,6 +31,16 @@
     def age_ms(self) -> float: ...
 
 
+# The services that requests call together, named by the first of them and their number:
+# hashing the names of all shards would cost more than the rest of a decision.
+GroupKey = tuple[ServiceId, int]
+
+
+def get_group_key(services: tuple[ServiceId, ...]) -> GroupKey:
+    """Returns the name of a group of services."""
+    return (services[0], len(services))
+
+
 class AdmissionKind(enum.Enum):
     """What happens to a request."""
 
@@ -73,6 +83,10 @@
     max_hold_ms: float = 0.0
     was_held: bool = False
 
+    @property
+    def group(self) -> GroupKey:
+        return get_group_key(self.services)
+
     def get_tolerable_wait_ms(self, now: Millis) -> float:
         """Returns how long its calls may wait for the answer to be in time."""
         return max(0.0, self.soft_deadline - now - self.work_ms)
