--- a/src/skylarkcart/explain/_timeline.py
+++ b/src/skylarkcart/explain/_timeline.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from skylarkcart.explain._room import explain_room
+
 # Events of the same instance are included from this time before a request.
 CONTEXT_MS = 5_000.0
 
@@ -32,6 +34,8 @@
     )
 )
 
+REASON_INDENT = " " * 13
+
 _COMMON_FIELDS = ("at_ms", "event", "level", "instance", "request")
 
 
@@ -46,9 +50,11 @@
 
     def render(self, origin_ms: float) -> str:
         values = " ".join(f"{name}={value!r}" for name, value in self.fields.items())
-        return (
+        rendered = (
             f"{self.at_ms - origin_ms:+9.1f} ms {self.instance} {self.event} {values}"
         )
+        reason = explain_room(self.fields)
+        return rendered if reason is None else f"{rendered}\n{REASON_INDENT}{reason}"
 
 
 class RequestTimeline(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/explain/test_walks.py
+++ b/tests/explain/test_walks.py
@@ -1,4 +1,4 @@
-"""The three walkthroughs in docs/OPERATIONS.md, from a request id to its cause."""
+"""The walkthroughs in docs/OPERATIONS.md, from a request id to its cause."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 from skylarkcart.explain import LogLine, build_timeline, read_lines
 from tests.gateway.standins import API_KEY, build_configuration
+from tests.gateway.test_room_gate import ask, make_short
 
 OPERATIONS_PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
@@ -140,3 +141,29 @@
     assert len(log._lines) <= 2_000
     os.close(reader)
     os.close(writer)
+
+
+async def test_refused_for_want_of_room(deployment, log) -> None:
+    """From a 503 to the wait, its news and the more urgent requests."""
+    await make_short(deployment)
+    await ask(deployment, "/read/x", 3)
+    numbers = [f"/read/x-{number}" for number in range(3)]
+    lines = [line for number in numbers for line in log.explain(number)]
+    refused = [line for line in lines if line.event == "request_refused"]
+    assert refused
+    facts = refused[0].fields["facts"]
+    assert facts["urgent_priority"] == 0 and facts["room"]["wait_ms"] > 0
+    text = refused[0].render(0.0)
+    assert "refused: " in text and "news" in text and "priority 0 could wait" in text
+    assert_page_mentions(
+        "yields_to_more_urgent",
+        "no_room_before_deadline",
+        "no_room_in_time",
+        "returned_before_slot",
+        "instance_late",
+        "shards_left_out",
+        "admission_decided",
+        "wait_ms",
+        "tolerable_ms",
+        "trust",
+    )
