Correct estimated waits by what answers took, and promise room only once

The ratio of actual to estimated waits is now learned, and a slot is handed out only if room is expected for it in the caller's time.

--- a/src/skylarkcart/admission/_admission.py
+++ b/src/skylarkcart/admission/_admission.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from skylarkcart.admission._bias import WaitBias
 from skylarkcart.admission._callers import Callers
 from skylarkcart.admission._demand import (
     Demand,
@@ -67,6 +68,7 @@
         # Contended services whose upstreams report a work factor.
         self._reporting: set[ServiceId] = set()
         self._evidence: dict[ServiceId, ServiceEvidence] = {}
+        self._biases: dict[ServiceId, WaitBias] = {}
         self._suspect_until = Millis(float("-inf"))
         self._demand = Demand()
         self._callers = Callers()
@@ -86,9 +88,20 @@
             for services in list_service_groups(route)
         }
         self._demand.keep_only(groups)
+        self._biases = self._share_biases(configuration)
         for key in [key for key in self._pressure_sums if key[0] not in groups]:
             del self._pressure_sums[key]
 
+    def _share_biases(self, configuration: Configuration) -> dict[ServiceId, WaitBias]:
+        """Lets the services that are called together learn one bias."""
+        shared: dict[ServiceId, WaitBias] = {}
+        for route in configuration.routes:
+            for services in list_service_groups(route):
+                if services[0] in self._contended:
+                    bias = shared.get(services[0]) or self._biases.get(services[0])
+                    shared |= dict.fromkeys(services, bias or WaitBias())
+        return shared
+
     def record_report(self, service: ServiceId, *, is_full: bool, now: Millis) -> None:
         """Records a report with a work factor, or the refusal of a reporting upstream.
 
@@ -101,7 +114,8 @@
         if evidence is None:
             if not is_full:
                 return
-            evidence = self._evidence[service] = ServiceEvidence()
+            bias = self._biases.get(service)
+            evidence = self._evidence[service] = ServiceEvidence(bias=bias)
         evidence.record_report(is_full=is_full, now=now)
         if is_full:
             self._suspect_until = Millis(now + MAX_NEWS_AGE_MS)
@@ -236,9 +250,6 @@
             return self._admit(request, shortage, pressure, now)
         if state is ReturnState.EARLY:
             return self._refuse_early(request, shortage, pressure, now)
-        if request.is_returning and pressure.reason is AdmissionReason.LATE:
-            # A late answer is worth more to it than a second refusal.
-            return self._admit(request, shortage, pressure, now)
         key = (request.group, request.priority)
         total = self._pressure_sums.get(key, 0.0) + self._callers.weigh(
             request, pressure.part
--- a/src/skylarkcart/admission/_evidence.py
+++ b/src/skylarkcart/admission/_evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from skylarkcart.admission._bias import WaitBias
 from skylarkcart.admission._messages import Room
 from skylarkcart.clock import Millis
 
@@ -49,7 +50,9 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, bias: WaitBias | None = None) -> None:
+        # Shared by the services that are called together.
+        self._bias = bias or WaitBias()
         self.trust = 1.0
         self.is_short = False
         # Of the latest decision.
@@ -82,6 +85,9 @@
             or not 0.0 <= announcement_age_ms <= MAX_ANNOUNCEMENT_AGE_MS
         ):
             return
+        self._bias.record(
+            estimated_ms=announced_ms, actual_ms=max(0.0, elapsed_ms - work_ms)
+        )
         if elapsed_ms < work_ms + PROMPT_WAIT_RATIO * announced_ms:
             self.trust *= TRUST_LOSS_FACTOR
         else:
@@ -135,4 +141,4 @@
         if self.trust < MIN_TRUST:
             return 0.0
         belief = self.trust * max(0.0, 1.0 - room.age_ms / MAX_NEWS_AGE_MS)
-        return wait_ms * belief
+        return wait_ms * belief * self._bias.factor
--- a/src/skylarkcart/admission/_returns.py
+++ b/src/skylarkcart/admission/_returns.py
@@ -16,9 +16,6 @@
 
 MAX_SLOTS = 4_096
 
-# Slots of one service group lie at most this far apart, whatever its rate.
-MAX_SPACING_MS = 50.0
-
 
 class ReturnState(enum.Enum):
     """How a request relates to the slots that this instance handed out."""
@@ -55,16 +52,15 @@
     ) -> float:
         """Hands out the next slot and returns the time until it in ms.
 
-        A caller that can't wait for its turn gets the latest time that it accepts.
+        A caller that can't wait for its turn is told the latest time that it accepts,
+        without a slot.
         """
         self._remove_expired(now)
-        spacing_ms = min(MAX_SPACING_MS, spacing_ms)
         last = self._last_by_group.get(group, Millis(float("-inf")))
         due_at = Millis(max(now + wait_ms, last + spacing_ms))
         if due_at > now + max_wait_ms:
-            due_at = Millis(now + max_wait_ms)
-        else:
-            self._last_by_group[group] = due_at
+            return max_wait_ms
+        self._last_by_group[group] = due_at
         if len(self._order) < MAX_SLOTS:
             self._due.setdefault(caller, collections.deque()).append(due_at)
             self._order.append((due_at, caller))
