--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -3,27 +3,25 @@
 from __future__ import annotations
 
 import collections
-import enum
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from skylarkcart.clock import Millis
-from skylarkcart.load import LoadStatistics, ServiceLoad, ServiceRoom, compute_room
+from skylarkcart.load import LoadStatistics, ServiceRoom, compute_room
 from skylarkcart.published import RegisteredUpstream, UpstreamState
+from skylarkcart.replicas._cost import (
+    CONNECTION_LIMIT_COST_FACTOR,
+    COST_JITTER,
+    OTHER_ZONE_COST_FACTOR,
+    Access,
+    add_penalties,
+)
+from skylarkcart.replicas._even_choice import EvenChoice, RefusedCall
 from skylarkcart.replicas._notices import UpstreamNotices
 from skylarkcart.replicas._replica import Replica, SlowSample
 from skylarkcart.replicas._zone_reach import ZoneReachability
 from skylarkcart.types import ServiceId, SlowCall, UpstreamId, ZoneId
 
-# Factors on the expected latency of a call. A call to another zone takes an inter-zone
-# round trip and its traffic is billed. The other factors rank, in increasing order, the
-# upstreams that are used only if no better one is left.
-OTHER_ZONE_COST_FACTOR = 2.0
-COLD_COST_FACTOR = 1.6
-CONNECTION_LIMIT_COST_FACTOR = 10.0
-STALLED_COST_FACTOR = 20.0
-BACKOFF_COST_FACTOR = 100.0
-
 # Minimum cost of opening a connection, as a fraction of a typical call: connections are
 # billed and may occupy a slot, even if they open fast.
 MIN_CONNECT_COST = 0.2
@@ -31,9 +29,6 @@
 # Weight of one connection in the exponential moving average of the connect time.
 CONNECT_TIME_WEIGHT = 0.2
 
-# Random fraction added to each cost, so that instances don't all select the same one.
-COST_JITTER = 0.1
-
 # Connection attempts per round of probes, in total and to each unreachable zone.
 MAX_PROBES = 24
 MAX_PROBES_PER_UNREACHABLE_ZONE = 3
@@ -42,17 +37,6 @@
 SLOW_CALL_REPORT_WINDOW_MS = 1_000.0
 MAX_REPORTED_SLOW_CALLS = 10
 
-# Lower success ratios are raised to this value, which bounds the cost.
-MIN_SUCCESS_RATIO = 0.05
-
-
-class Access(enum.Enum):
-    """How a call would reach an upstream."""
-
-    CONNECTED = "connected"
-    UNCONNECTED = "unconnected"
-    AT_CONNECTION_LIMIT = "full"
-
 
 class Replicas:
     """The upstreams that may get calls, by service."""
@@ -66,8 +50,7 @@
         # Calls per second that this instance may make to each cold upstream of a
         # service. Services without an entry have no such limit.
         self.cold_calls_per_s: dict[ServiceId, float] = {}
-        self.load_statistics = LoadStatistics()
-        self._service_loads: dict[ServiceId, ServiceLoad] = {}
+        self._even_choice = EvenChoice(zone=zone, random=random)
         self._connect_times_ms: dict[ServiceId, float] = {}
         self._zone_reachability: collections.defaultdict[ZoneId, ZoneReachability] = (
             collections.defaultdict(ZoneReachability)
@@ -98,8 +81,7 @@
         for upstream, replica in self.replicas.items():
             service = replica.entry.service
             self._by_service.setdefault(service, {})[upstream] = replica
-        for service in self._service_loads.keys() - self._by_service.keys():
-            del self._service_loads[service]
+        self._even_choice.update(self._by_service)
         return dropped
 
     def record_leaving(self, replica: Replica) -> bool:
@@ -113,6 +95,7 @@
     def record_pause(self, replica: Replica, pause_ms: float, now: Millis) -> None:
         """Records that an upstream's process wants no calls for a time."""
         replica.paused_until = self._notices.record_pause(replica.entry, pause_ms, now)
+        replica.begin_ramp(replica.paused_until)
 
     def get_available_at(self, service: ServiceId, now: Millis) -> Millis | None:
         """Returns when the pause of some upstream of a service has ended.
@@ -134,6 +117,20 @@
     def list_replicas(self, service: ServiceId) -> tuple[Replica, ...]:
         return tuple(self._by_service.get(service, {}).values())
 
+    @property
+    def load_statistics(self) -> LoadStatistics:
+        return self._even_choice.statistics
+
+    def record_refusal(
+        self, replica: Replica, *, has_report: bool, now: Millis
+    ) -> RefusedCall | None:
+        """Returns why an upstream was chosen that has refused the call.
+
+        ``has_report`` holds if the refusal stated the load. Returns None if the
+        service's upstreams state no work factor.
+        """
+        return self._even_choice.record_refusal(replica, has_report=has_report, now=now)
+
     def get_room(
         self, service: ServiceId, *, now: Millis, typical_ms: float
     ) -> ServiceRoom | None:
@@ -147,6 +144,7 @@
                 (replica.load, len(replica.in_flight))
                 for replica in self._by_service.get(service, {}).values()
                 if replica.load is not None
+                and replica.load.has_report
                 and replica.accepts_calls(now)
                 and not replica.is_unreachable(now)
             ),
@@ -167,11 +165,22 @@
 
         ``typical_ms`` is the typical latency of a call. Upstreams in ``tried`` are
         skipped. Upstreams to which no further connection may be opened get a high cost,
-        as the call would wait for a connection to become free.
+        as the call would wait for a connection to become free. If the service's
+        upstreams state how long work takes on their machines, only some are compared,
+        by a draw from the estimate of their load.
         """
+        connect_cost = self._get_connect_cost(service, typical_ms)
+        if self._even_choice.applies_to(service):
+            return self._even_choice.select(
+                service,
+                now=now,
+                tried=tried,
+                may_call=self._may_call if service in self.cold_calls_per_s else None,
+                get_access=get_access,
+                connect_cost=connect_cost,
+            )
         best: Replica | None = None
         best_cost = float("inf")
-        connect_cost = self._get_connect_cost(service, typical_ms)
         for upstream, replica in self._by_service.get(service, {}).items():
             if upstream in tried or not replica.accepts_calls(now):
                 continue
@@ -285,13 +294,6 @@
             return True
         return replica.may_call_cold(now, calls_per_s=rate)
 
-    def _get_service_load(self, service: ServiceId) -> ServiceLoad:
-        load = self._service_loads.get(service)
-        if load is None:
-            load = ServiceLoad(statistics=self.load_statistics)
-            self._service_loads[service] = load
-        return load
-
     def _update_replica(self, upstream: UpstreamId, known: RegisteredUpstream) -> None:
         replica = self.replicas.get(upstream)
         if replica is None or replica.entry.born_ms != known.entry.born_ms:
@@ -301,10 +303,10 @@
                 entry=known.entry,
                 seen_at=known.first_seen_at,
                 zone_reachability=self._zone_reachability[known.entry.zone],
-                service_load=self._get_service_load(known.entry.service),
+                service_load=self._even_choice.get_load(known.entry.service),
             )
             if known.entry.service in self._by_service:
-                replica.returned_at = known.first_seen_at
+                replica.begin_ramp(known.first_seen_at)
             replica.paused_until = self._notices.get_pause_end(known.entry)
             self.replicas[upstream] = replica
             return
@@ -315,15 +317,6 @@
         cost = replica.get_latency_ratio(now) * (
             1.0 + replica.get_utilization(now) ** 2
         )
-        failure_ratio = replica.get_failure_ratio(now)
-        if failure_ratio:
-            cost /= max(MIN_SUCCESS_RATIO, 1.0 - failure_ratio) ** 2
-        if replica.entry.zone != self._zone:
-            cost *= OTHER_ZONE_COST_FACTOR
-        if replica.is_cold(now):
-            cost *= COLD_COST_FACTOR
-        if replica.in_flight and replica.is_stalled(now):
-            cost *= STALLED_COST_FACTOR
-        if replica.is_backed_off(now):
-            cost *= BACKOFF_COST_FACTOR
-        return cost
+        is_remote = replica.entry.zone != self._zone
+        zone_factor = OTHER_ZONE_COST_FACTOR if is_remote else 1.0
+        return add_penalties(cost, replica, now, zone_factor=zone_factor)
