--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -74,6 +74,8 @@
         self._discardable_bytes = 0
         self._last_active_at = self._now = service.clock.now()
         self._opened_at = self._last_active_at
+        # The address that the caller connected from, if it is known.
+        self.peer_host = ""
 
     @property
     def is_idle(self) -> bool:
@@ -85,6 +87,11 @@
             and not self._backlog
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of responses that the network has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def is_new(self, arrived_at: Millis) -> bool:
         """Whether the connection was opened for a request that just arrived."""
         return arrived_at - self._opened_at <= NEW_CONNECTION_MAX_AGE_MS
@@ -93,8 +100,9 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=0)
         peer = transport.get_extra_info("peername")
+        self.peer_host = str(peer[0]) if peer else ""
         self._share = self._account.open(
-            str(peer[0]) if peer else "", give_way=self._give_way, now=self._opened_at
+            self.peer_host, give_way=self._give_way, now=self._opened_at
         )
         if self._share is None:
             self._abort(Refusal.DESCRIPTORS.value)
--- a/src/skylarkcart/gateway/_caller_service.py
+++ b/src/skylarkcart/gateway/_caller_service.py
@@ -11,7 +11,9 @@
 
 
 class ResponseWriter(Protocol):
-    """The connection that a request came from."""
+    """The connection that a request came from; ``peer_host`` is the caller's address."""
+
+    peer_host: str
 
     def is_new(self, arrived_at: Millis) -> bool: ...
 
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -8,6 +8,7 @@
 import traceback
 from collections.abc import Sequence
 
+from skylarkcart.admission import Admission
 from skylarkcart.budgets import (
     ExtraCallBudget,
     ExtraCallClaim,
@@ -117,6 +118,7 @@
             retention=build_retention_bounds(settings.bounds),
         )
         self.replicas = Replicas(zone=settings.zone, random=random)
+        self.admission = Admission()
         self.metrics.registry.register(
             LoadCollector(get_statistics=lambda: self.replicas.load_statistics)
         )
@@ -260,6 +262,7 @@
             configuration=configuration, random=self.random, previous=self.table
         )
         self.quotas.configure(table.accounts, self.now)
+        self.admission.configure(configuration)
         self.table = table
         self.caller_account.fit_largest_request(
             compute_largest_share(configuration.limits)
