--- a/src/skylarkcart/gateway/_caller_service.py
+++ b/src/skylarkcart/gateway/_caller_service.py
@@ -11,7 +11,7 @@
 
 
 class ResponseWriter(Protocol):
-    """The connection that a request came from; ``peer_host`` is the caller's address."""
+    """The connection that a request came from, and its caller's address."""
 
     peer_host: str
 
