Let upstreams of the soak state work factors, some of them false ones

Two of the soak's services state four figures, a third of their upstreams false or unreadable ones; the faults of a seed stay the same.

--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -29,6 +29,11 @@
 CALLER_TIMEOUT_S = 4.0
 STOP_GRACE_S = 6.0
 
+# Services whose upstreams state a work factor; the others state three figures.
+REPORTING_SERVICES = ("shard-2", "desk")
+LYING_RATIO = 0.3
+FALSE_LOADS = ("0,0,4,10", "4,90,4,100", "0,0,99999,100", "4,4,4,9999", "busy", "")
+
 ENDLESS_CHUNK = b"x" * 65_536
 MAX_COPY_DELAY_S = 0.05
 
@@ -52,13 +57,22 @@
         self._rng = rng
         self.fault_ratio = 0.0
         self.fault = ResponseFault.LOST
+        # Apart from the faults' numbers, so that the faults of a seed stay the same.
+        self._load_rng = random.Random(self.upstream)
+        self._lies_about_load = self._load_rng.random() < LYING_RATIO
+        self._running = 0
 
     async def handle(self, method: str, target: str, headers: Headers, body: bytes):
         request = headers["request-id"]
         self._ledger.arrivals.append((request, self.upstream, time.monotonic()))
         # It is leaving if it is when the request arrives: the answer says so, too.
         said_leaving = self.is_leaving
-        answer = await super().handle(method, target, headers, body)
+        self._running += 1
+        try:
+            answer = await super().handle(method, target, headers, body)
+        finally:
+            load = self._state_load()
+            self._running -= 1
         if self.retry_after is not None:
             self._ledger.refusals.append(
                 Refusal(
@@ -83,7 +97,16 @@
                 carried_key=any(value in KEY_ACCOUNTS for value in headers.values()),
             )
         )
-        return status, fields, content
+        return status, fields | load, content
+
+    def _state_load(self) -> dict[str, str]:
+        """States the load with a work factor; some upstreams state any."""
+        if self.service not in REPORTING_SERVICES:
+            return {}
+        load = f"{self._running},0,4,{self._load_rng.randrange(60, 300)}"
+        if self._lies_about_load:
+            load = self._load_rng.choice(FALSE_LOADS)
+        return {"Server-Load": load}
 
     async def send(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
         if self._rng.random() >= self.fault_ratio:
