Mend what the review of the callers' account found

Cause: a response that is not read and closes its connection never gave way; responses being sent gave way before idle connections, and connections just opened before those idle for long; a large response was cut at three quarters of the account; time ran while a connection was not read; a refused large request kept small ones from the search for room; a raised limit did not hold for the next head. Change: the order is unread bodies, idle connections, responses; the activity is kept after a close; the search is remembered by limit; the limits are read at each head; a paused backlog is copied. test_connections_that_sent_nothing_close_first now lets the unused connections grow a second old, as younger ones are no longer counted as unused.

--- a/src/skylarkcart/gateway/_caller_connection.py
+++ b/src/skylarkcart/gateway/_caller_connection.py
@@ -57,6 +57,7 @@
         # Size of a response that the caller has not read completely, and its rest.
         self._unsent_bytes = 0
         self._unsent_rest = 0
+        self._is_draining = False
         # Data that is not parsed yet, and when it arrived.
         self._backlog: bytes | memoryview = b""
         self._backlog_arrived_at = Millis(0.0)
@@ -89,8 +90,14 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """The bytes of responses that the network has not taken yet."""
-        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+        """The bytes of responses that the network has not taken yet.
+
+        Those of a caller that has not read since the last check don't count: they wait
+        for the caller, not for this instance's link.
+        """
+        if self._transport is None or not self._is_draining:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def is_new(self, arrived_at: Millis) -> bool:
         """Whether the connection was opened for a request that just arrived."""
@@ -135,6 +142,8 @@
     def resume_writing(self) -> None:
         self._is_sending = False
         self._unsent_bytes = 0
+        # The connection was not read meanwhile, so that its caller was not idle.
+        self._last_active_at = self._service.clock.now()
         self._continue()
 
     def respond(self, data: bytes, *, closes: bool) -> None:
@@ -196,7 +205,7 @@
         self._is_advancing = True
         started = 0
         try:
-            while not self._is_closing:
+            while not self._is_closing and not self._transport.is_closing():
                 if self._queue and not self._is_handling and not self._is_sending:
                     if started == MAX_REQUESTS_PER_TURN:
                         asyncio.get_running_loop().call_soon(self._continue)
@@ -303,6 +312,8 @@
         if pauses is not self._is_paused and not self._is_closing:
             self._is_paused = pauses
             if pauses:
+                # A view would keep all data of its read in memory.
+                self._backlog = bytes(self._backlog)
                 self._transport.pause_reading()
             else:
                 self._transport.resume_reading()
@@ -331,6 +342,7 @@
 
     def _check_sending(self, now: Millis, limits: CallerLimits) -> None:
         rest = self._transport.get_write_buffer_size()
+        self._is_draining = rest < self._unsent_rest
         self._share.record_progress(max(0, self._unsent_rest - rest), now)
         self._unsent_rest = rest
         if now - self._share.progressed_at > limits.idle_timeout_ms:
@@ -392,7 +404,11 @@
             self._transport.write_eof()
         else:
             self._transport.close()
-        self._hold()
+        if self._share is not None:
+            self._share.begin(self._get_activity(), self._now)
+            if not self._hold() and self._is_sending:
+                # Its response is not read, and there is no room to keep it.
+                self._abort(Refusal.MEMORY.value)
 
     def _discard(self, size: int) -> None:
         self._discardable_bytes -= size
--- a/src/skylarkcart/gateway/_request_reader.py
+++ b/src/skylarkcart/gateway/_request_reader.py
@@ -141,6 +141,7 @@
         self._begin_message()
 
     def on_message_begin(self) -> None:
+        self._set_limits(self._get_limits())
         self.is_reading = True
         self._is_reading_head = True
         self._bytes_without_body = 0
--- a/src/skylarkcart/receive/_account.py
+++ b/src/skylarkcart/receive/_account.py
@@ -17,6 +17,10 @@
 # A connection that made no progress for this time has stalled.
 STALL_MS = 500.0
 
+# A new connection that has sent no request for this time is unused; the first request
+# of a younger one may be on its way.
+UNUSED_MS = 1_000.0
+
 # Fewer received bytes than this are no progress.
 MIN_PROGRESS_BYTES = 4_096
 
@@ -27,6 +31,9 @@
 # After a search without a result, the next one is made this much later.
 SEARCH_INTERVAL_MS = 20.0
 
+# Limits whose last search is remembered; their number changes with the configuration.
+MAX_SEARCH_TIMES = 8
+
 # Requests of the largest size that must fit at the same time.
 MIN_LARGEST_REQUESTS = 2
 
@@ -47,6 +54,11 @@
     DESCRIPTORS = "descriptors_exhausted"
 
 
+# The order in which connections that have stalled give way: a response that is cut was
+# run by an upstream already.
+_ACTIVITIES = (Activity.RECEIVING, Activity.IDLE, Activity.SENDING, Activity.HANDLING)
+
+
 class Share:
     """What one connection holds of the account.
 
@@ -113,7 +125,8 @@
         self.max_connections = max_connections
         # Ordered, so that the oldest of equal connections gives way.
         self.shares: dict[Share, None] = {}
-        self._search_at = Millis(float("-inf"))
+        # By limit, as there may be room for a small request but not for a large one.
+        self._search_at: dict[int, Millis] = {}
 
     def fit_largest_request(self, size: int) -> None:
         """Makes the account large enough for two of the largest legal requests."""
@@ -145,7 +158,8 @@
         growth = size - share.bytes_held
         if growth > 0:
             limit = self.size
-            if size > LARGE_BYTES:
+            # What is being sent was run already.
+            if size > LARGE_BYTES and share.activity is not Activity.SENDING:
                 limit = int(LARGE_REQUESTS_FRACTION * limit)
             if self.held + growth > limit and not self._free_bytes(
                 share, growth, limit, now
@@ -157,12 +171,14 @@
 
     def _free_bytes(self, share: Share, growth: int, limit: int, now: Millis) -> bool:
         """Lets other connections give way until ``growth`` fits with some room."""
-        if growth > limit or now < self._search_at:
+        if growth > limit or now < self._search_at.get(limit, now):
             return False
         excess = self.held + growth - limit
         freeable = self._list_by_priority(share, growth, now)
         if sum(victim.bytes_held for victim in freeable) < excess:
-            self._search_at = Millis(now + SEARCH_INTERVAL_MS)
+            if len(self._search_at) > MAX_SEARCH_TIMES:
+                self._search_at.clear()
+            self._search_at[limit] = Millis(now + SEARCH_INTERVAL_MS)
             return False
         target = limit - growth - int(FREED_FRACTION * self.size)
         for victim in freeable:
@@ -188,7 +204,7 @@
             ),
             key=lambda share: (
                 not _may_give_way(share, now),
-                share.activity is Activity.IDLE,
+                _ACTIVITIES.index(share.activity),
                 -by_address[share.address],
                 -share.bytes_held,
                 share.progressed_at,
@@ -212,7 +228,8 @@
         candidates = sorted(
             (share for share in self.shares if _may_give_way(share, now)),
             key=lambda share: (
-                share.has_sent_request,
+                share.activity is not Activity.IDLE,
+                share.has_sent_request or now - share.progressed_at < UNUSED_MS,
                 -by_address[share.address],
                 share.progressed_at,
             ),
--- a/tests/receive/test_account.py
+++ b/tests/receive/test_account.py
@@ -201,11 +201,38 @@
     for number in range(99):
         connections.clock.advance(1.0)
         connections.add(f"unused-{number}", 100, activity=Activity.IDLE)
+    connections.clock.advance(1_000.0)
     connections.add("new", 100)
     assert connections.closed[:2] == ["unused-0", "unused-1"]
     assert "used" not in connections.closed
 
 
+def test_new_connections_stay_open_longer_than_idle_ones() -> None:
+    """Their first requests may be on the way, as in a wave of reconnections."""
+    connections = Connections()
+    for number in range(60):
+        kept = connections.add(f"kept-{number}", 100, activity=Activity.IDLE)
+        kept.has_sent_request = True
+    connections.clock.advance(10_000.0)
+    for number in range(40):
+        connections.add(f"fresh-{number}", 100, activity=Activity.IDLE)
+    connections.add("new", 100)
+    assert connections.closed
+    assert all(name.startswith("kept") for name in connections.closed)
+
+
+def test_idle_connections_close_before_a_response_is_cut() -> None:
+    connections = Connections()
+    sending = connections.add("sending", 100, activity=Activity.SENDING)
+    sending.has_sent_request = True
+    for number in range(99):
+        kept = connections.add(f"kept-{number}", 100, activity=Activity.IDLE)
+        kept.has_sent_request = True
+    connections.clock.advance(10_000.0)
+    connections.add("new", 100)
+    assert connections.closed and "sending" not in connections.closed
+
+
 def test_account_leaves_room_for_the_process() -> None:
     """Nine tenths of the memory hold the process and what the account counts."""
     for memory_mb in (160.0, 200.0, 300.0, 552.0):
