--- a/src/skylarkcart/admission/_admission.py
+++ b/src/skylarkcart/admission/_admission.py
@@ -307,7 +307,9 @@
             request,
             wait_ms=max(MIN_RETRY_AFTER_MS, pressure.excess_ms),
             spacing_ms=1.0 / max(1e-6, room_per_ms),
-            max_wait_ms=MAX_RETRY_FRACTION * (request.hard_deadline - now),
+            max_wait_ms=max(
+                MIN_RETRY_AFTER_MS, MAX_RETRY_FRACTION * (request.hard_deadline - now)
+            ),
             now=now,
         )
         return _build_refusal(request, shortage, pressure, retry_after_ms, now)
@@ -320,7 +322,9 @@
         now: Millis,
     ) -> AdmissionDecision:
         """Refuses a caller that repeats before the time that it was told."""
-        left_ms = self._callers.get_time_to_slot_ms(request, now)
+        left_ms = max(
+            MIN_RETRY_AFTER_MS, self._callers.get_time_to_slot_ms(request, now)
+        )
         early = msgspec.structs.replace(pressure, reason=AdmissionReason.BEFORE_SLOT)
         return _build_refusal(request, shortage, early, left_ms, now)
 
--- a/src/skylarkcart/admission/_demand.py
+++ b/src/skylarkcart/admission/_demand.py
@@ -112,7 +112,4 @@
 def _list_priorities(route: Route, configuration: Configuration) -> set[int]:
     if route.is_public or not configuration.accounts:
         return {route.priority}
-    return {
-        route.priority if account.priority is None else account.priority
-        for account in configuration.accounts
-    }
+    return {account.choose_priority(route) for account in configuration.accounts}
--- a/src/skylarkcart/admission/_evidence.py
+++ b/src/skylarkcart/admission/_evidence.py
@@ -66,6 +66,11 @@
 
     def record_report(self, *, is_full: bool, now: Millis) -> None:
         """Records whether an upstream of the service reported to have no free slot."""
+        if is_full and not self.is_suspect(now):
+            # What was decided on reports that are too old now proves nothing.
+            self.is_short = False
+            self.believed_wait_ms = 0.0
+            self._below_since = None
         reports = self.count_full_reports(now)
         self._counted_at = now
         if is_full:
--- a/src/skylarkcart/admission/_pressure.py
+++ b/src/skylarkcart/admission/_pressure.py
@@ -47,7 +47,8 @@
     """Compares the wait with the request's deadlines and those of more urgent ones."""
     wait_ms = shortage.get_wait_ms(request.needed)
     tolerable_ms = request.get_tolerable_wait_ms(now)
-    if wait_ms > request.hard_deadline - now - request.work_ms:
+    # Without a wait, it is not room that the request lacks.
+    if wait_ms > 0.0 and wait_ms > request.hard_deadline - now - request.work_ms:
         return Pressure(
             reason=AdmissionReason.HOPELESS,
             part=1.0,
--- a/src/skylarkcart/gateway/_room_gate.py
+++ b/src/skylarkcart/gateway/_room_gate.py
@@ -145,9 +145,6 @@
 
     def _apply(self, decision: AdmissionDecision) -> Exchange | None:
         if decision.kind is AdmissionKind.REFUSE:
-            account = self._admitted.account
-            if account is not None:
-                self._core.quotas.refund(account)
             self._send_refusal(
                 decision.reason.value,
                 decision.retry_after_ms,
@@ -162,18 +159,22 @@
         return self._start(left_out, self._request)
 
     def _reaches_coverage_without(self, left_out: frozenset[ServiceId]) -> bool:
-        """Whether enough other shards have reachable upstreams."""
-        core = self._core
-        reachable = sum(
-            core.replicas.is_reachable(service, core.now)
+        """Whether enough other shards have upstreams that take calls now."""
+        replicas, now = self._core.replicas, self._core.now
+        available = sum(
+            replicas.is_reachable(service, now)
+            and replicas.get_available_at(service, now) == now
             for service in self._request.services
             if service not in left_out
         )
-        return reachable >= self._request.needed
+        return available >= self._request.needed
 
     def _send_refusal(
         self, reason: str, retry_after_ms: float, **fields: object
     ) -> None:
+        account = self._admitted.account
+        if account is not None:
+            self._core.quotas.refund(account)
         self._completion.send_error(
             STATUS_UNAVAILABLE,
             reason,
@@ -188,7 +189,8 @@
         core, admitted = self._core, self._admitted
         route, deadlines = admitted.route, admitted.deadlines
         target_ms = route.target_latency_ms or route.timeout_ms
-        held_until = self._completion.arrived_at + MAX_HOLD_FRACTION * target_ms
+        time_ms = min(target_ms, deadlines.hard_deadline - self._completion.arrived_at)
+        held_until = self._completion.arrived_at + MAX_HOLD_FRACTION * time_ms
         return AdmissionRequest(
             services=services,
             needed=count_needed(route),
@@ -284,6 +286,6 @@
     account = None
     if admitted.account is not None:
         account = core.table.accounts.get(admitted.account)
-    if account is None or account.priority is None:
+    if account is None:
         return admitted.route.priority
-    return account.priority
+    return account.choose_priority(admitted.route)
--- a/src/skylarkcart/quotas/_token_buckets.py
+++ b/src/skylarkcart/quotas/_token_buckets.py
@@ -218,10 +218,14 @@
         return self._quotas[account].level
 
     def refund(self, account: AccountId) -> None:
-        """Puts back the token of a request that was sent to no upstream."""
+        """Puts back the token of a request that was sent to no upstream.
+
+        Other instances that have heard of the spending deduct no further one for it.
+        """
         quota = self._quotas.get(account)
         if quota is not None and quota.rate_per_s > 0:
             quota.level = min(quota.burst, quota.level + 1)
+            quota.spent = max(0, quota.spent - 1)
 
     def estimate_wait_ms(self, account: AccountId, *, is_retry: bool = False) -> float:
         """Returns the time until a request would be admitted if no other one is."""
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 
+import msgspec
+
 from skylarkcart.clock import Millis
 from skylarkcart.load import LoadStatistics, ServiceRoom, compute_room
 from skylarkcart.published import RegisteredUpstream, UpstreamState
@@ -139,18 +141,27 @@
         ``typical_ms`` is the typical latency of a call. Returns None if none of them
         reports its load with a work factor.
         """
-        return compute_room(
-            (
-                (replica.load, len(replica.in_flight))
-                for replica in self._by_service.get(service, {}).values()
-                if replica.load is not None
-                and replica.load.has_report
-                and replica.accepts_calls(now)
-                and not replica.is_unreachable(now)
-            ),
+        usable = [
+            replica
+            for replica in self._by_service.get(service, {}).values()
+            if replica.accepts_calls(now) and not replica.is_unreachable(now)
+        ]
+        reporting = [
+            replica
+            for replica in usable
+            if replica.load is not None and replica.load.has_report
+        ]
+        room = compute_room(
+            ((replica.load, len(replica.in_flight)) for replica in reporting),
             now=now,
             typical_ms=typical_ms,
         )
+        if room is not None and any(
+            replica not in reporting and not replica.is_cold(now) for replica in usable
+        ):
+            # An upstream that this instance has not called yet may be idle.
+            return msgspec.structs.replace(room, wait_ms=0.0)
+        return room
 
     def select(
         self,
--- a/tests/admission/model.py
+++ b/tests/admission/model.py
@@ -68,7 +68,12 @@
 
 def build_account(name: str, priority: int | None = None) -> Account:
     return Account(
-        account=AccountId(name), keys=(), priority=priority, rate_per_s=0, burst=0
+        account=AccountId(name),
+        keys=(),
+        priority=priority or 0,
+        rate_per_s=0,
+        burst=0,
+        has_priority=priority is not None,
     )
 
 
--- a/tests/admission/test_failures.py
+++ b/tests/admission/test_failures.py
@@ -11,11 +11,13 @@
 from tests.admission.model import (
     DESK,
     OVERNIGHT,
+    SHARDS,
     URGENT,
     FakeRoom,
     Scene,
     build_configuration,
     build_route,
+    build_search,
 )
 
 REFUSE = AdmissionKind.REFUSE
@@ -157,3 +159,32 @@
     callers = scene.admission._callers
     assert len(callers._slots._order) <= 4_096
     assert len(callers._caller_shares[2]._counts) <= 512
+
+
+def test_shortage_of_an_earlier_burst_proves_nothing_later() -> None:
+    """The latch outlived its news, so that one report much later kept retries back."""
+    scene = build_short_scene(wait_ms=900.0)
+    request = scene.build(target_ms=60, timeout_ms=300, work_ms=10)
+    assert scene.ask_urgent().kind is REFUSE
+    scene.now = Millis(scene.now + 3_600_000)
+    scene.admission.record_report(DESK, is_full=True, now=scene.now)
+    request = scene.build(target_ms=60, timeout_ms=300, work_ms=10)
+    assert scene.admission.may_call_again(request, DESK, is_hedge=False, now=scene.now)
+    assert scene.ask_urgent() is ADMITTED
+
+
+def test_search_that_needs_no_short_shard_is_not_hopeless() -> None:
+    scene = Scene(build_search("find", 0, 0.8), build_search("sweep", 1, 0.8))
+    scene.report(*SHARDS[1:], wait_ms=0)
+    fields = {"services": SHARDS, "needed": 29}
+    scene.decide(scene.build(target_ms=60, timeout_ms=300, work_ms=10, **fields))
+    scene.report(SHARDS[0], wait_ms=900)
+    late = scene.build(target_ms=5, timeout_ms=15, work_ms=20, **fields)
+    assert scene.decide(late).kind is AdmissionKind.ADMIT
+
+
+def test_caller_without_time_left_is_never_told_to_return_at_once() -> None:
+    scene = build_short_scene(wait_ms=900.0)
+    decision = scene.decide(scene.build(target_ms=60, timeout_ms=-10, work_ms=10))
+    assert decision.kind is REFUSE
+    assert decision.retry_after_ms >= 10.0
--- a/tests/quotas/test_quotas.py
+++ b/tests/quotas/test_quotas.py
@@ -290,3 +290,15 @@
         quotas.try_spend(ACCOUNT, Millis(2_000), is_retry=True) for _ in range(40)
     ]
     assert sum(admitted) == 27
+
+
+def test_refunded_requests_cost_the_account_nothing_at_other_instances() -> None:
+    """Refusals for want of room emptied the account's tokens everywhere else."""
+    fleet = SimulatedFleet(count=2, rate=1.0, burst=20.0)
+    fleet.report(Millis(0))
+    level = fleet.quotas[1].get_level(ACCOUNT)
+    for _ in range(15):
+        assert fleet.quotas[0].try_spend(ACCOUNT, Millis(1))
+        fleet.quotas[0].refund(ACCOUNT)
+    fleet.report(Millis(2))
+    assert fleet.quotas[1].get_level(ACCOUNT) == pytest.approx(level, abs=0.1)
--- a/tests/replicas/test_room.py
+++ b/tests/replicas/test_room.py
@@ -55,3 +55,11 @@
     room = replicas.get_room(SERVICE, now=Millis(60_000), typical_ms=TYPICAL_MS)
     assert room.occupied < 1.0
     assert room.wait_ms == 0.0
+
+
+def test_upstream_that_was_never_called_counts_as_room() -> None:
+    """After a start or a repartition, one full upstream of three proves no shortage."""
+    replicas = build_replicas(build_entry(1), build_entry(2), build_entry(3))
+    replicas.replicas[UpstreamId("i-1")].record_load(report(4, 8), now=Millis(0))
+    room = replicas.get_room(SERVICE, now=Millis(1), typical_ms=TYPICAL_MS)
+    assert room.wait_ms == 0.0
