Mend what the review of eras found

Cause: an account without a priority could not be decoded by older builds, which then got no state from this one; a zone that was taken back stayed closed where only the deletion was heard; a response from before the known state confirmed it, and with it withdrawn keys; spaces around the era made it unusable. Change: the priority stays a number on the wire, beside a flag; a deletion also ends what is kept; a response confirms only what it includes; the header's values are stripped.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -12,7 +12,7 @@
 from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.registry import Change, StatePosition
-from skylarkcart.types import NO_ERA, Era
+from skylarkcart.types import NO_ERA
 
 MILLISECONDS_PER_SECOND = 1000.0
 
@@ -156,7 +156,8 @@
     async def _read_whole_state(self) -> bool:
         """Reads all items and returns whether there are any."""
         core = self._core
-        known = era = core.registry.era
+        position = core.registry.position
+        known = era = position.era
         read_at = started_at = core.now
         changes: list[Change] = []
         async for page in self._store.read_pages(
@@ -169,7 +170,7 @@
             started_at = core.now
         core.registry.apply_snapshot(changes, revision=revision, era=era, now=core.now)
         self._history_lost_at = None
-        self._confirm(read_at, era)
+        self._confirm(read_at, StatePosition(era, revision), known=position)
         return bool(changes)
 
     async def _watch_changes(self) -> bool:
@@ -193,12 +194,19 @@
         # Without changes, the store responds only after the requested wait.
         waited_ms = 0.0 if page.items else WATCH_WAIT_MS
         confirmed_at = Millis(min(core.now, started_at + waited_ms))
-        self._confirm(confirmed_at, position.era)
+        read = StatePosition(position.era, page.revision)
+        self._confirm(confirmed_at, read, known=position)
         return bool(changes)
 
-    def _confirm(self, at: Millis, era: Era) -> None:
-        """Confirms the state, unless a peer has passed on state of a later era."""
-        if era == self._core.registry.era:
+    def _confirm(
+        self, at: Millis, read: StatePosition, *, known: StatePosition
+    ) -> None:
+        """Confirms the state, unless the response does not include what was known.
+
+        A peer may have passed on state of a later era meanwhile. A store that was
+        restored and states no era any more responds from before the known position.
+        """
+        if read.era == self._core.registry.era and read >= known:
             self._core.registry.confirm(at)
 
     async def _handle_lost_history(
--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -225,7 +225,8 @@
     return Account(
         account=AccountId(tenant.name),
         keys=tenant.api_keys,
-        priority=tenant.priority,
+        priority=tenant.priority or 0,
+        has_priority=tenant.priority is not None,
         rate_per_s=tenant.rate_per_s,
         burst=tenant.burst,
     )
--- a/src/skylarkcart/platform/_store_era.py
+++ b/src/skylarkcart/platform/_store_era.py
@@ -29,9 +29,11 @@
 
     >>> decode_era([b"7"])
     StatedEra(era=7, text='7')
+    >>> decode_era([b" 7 "]).era
+    7
     >>> decode_era([b"-7"])
     StatedEra(era=None, text='-7')
     """
-    text = b", ".join(values).decode("latin-1")
+    text = b", ".join(value.strip() for value in values).decode("latin-1")
     era = Era(int(text)) if _ERA.fullmatch(text) else None
     return StatedEra(era=era, text=text[:_MAX_TEXT])
--- a/src/skylarkcart/published.py
+++ b/src/skylarkcart/published.py
@@ -91,14 +91,20 @@
 class Account(msgspec.Struct, frozen=True, kw_only=True):
     """A client account. With a ``rate_per_s`` of 0, its rate is not limited.
 
-    Its ``priority``, if stated, goes before the one of the route.
+    Its ``priority`` goes before the one of the route if ``has_priority`` holds. Older
+    builds send no ``has_priority``, and a priority of 0 if none is stated.
     """
 
     account: AccountId
     keys: tuple[str, ...]
-    priority: int | None
+    priority: int
     rate_per_s: float
     burst: float
+    has_priority: bool = False
+
+    def choose_priority(self, route: Route) -> int:
+        """Returns the priority of this account's requests on a route."""
+        return self.priority if self.has_priority else route.priority
 
     def __repr__(self) -> str:
         return f"Account(account={self.account!r}, keys={len(self.keys)})"
--- a/src/skylarkcart/registry/_closed_zones.py
+++ b/src/skylarkcart/registry/_closed_zones.py
@@ -38,9 +38,10 @@
         self.stored.add(zone)
 
     def reopen(self, zone: ZoneId) -> None:
-        """Reopens a zone that the store closed in this era."""
-        if zone in self.stored:
-            self.stored.remove(zone)
+        """Reopens a zone whose evacuation the operators have taken back."""
+        if zone in self.all:
+            self.stored.discard(zone)
+            self._kept.pop(zone, None)
             self._emit_event("zone_reopened", zone, "in the store")
 
     def keep(self, kept: KeptZone, until: Millis) -> None:
--- a/tests/registry/test_kept_state.py
+++ b/tests/registry/test_kept_state.py
@@ -6,7 +6,7 @@
 import pytest
 
 from skylarkcart.clock import Millis
-from skylarkcart.published import UpstreamState
+from skylarkcart.published import Account, UpstreamState
 from skylarkcart.registry import (
     CONFIGURATION_KEY,
     NO_ERA,
@@ -15,6 +15,7 @@
     Published,
     Registry,
     build_upstream_key,
+    build_zone_key,
 )
 from tests.registry.test_late_results import ZONE, close_zone
 from tests.registry.test_registry import (
@@ -167,3 +168,29 @@
     # The other way round, an old build ignores what it doesn't know.
     state = registry.build_published(since=0, now=Millis(0))
     assert copy(state, OldPublished).revision == registry.revision
+
+
+def test_zone_that_is_taken_back_is_open_also_where_only_that_is_heard() -> None:
+    """Closed and opened again between two reads, only the deletion arrives."""
+    registry = build_restored_registry()
+    assert registry.closed_zones == {ZONE}
+    revision = registry.revision + 2
+    taken_back = Change(key=build_zone_key(ZONE), revision=revision, value=None)
+    registry.apply_changes([taken_back], revision=revision, era=NEW, now=Millis(0))
+    assert registry.closed_zones == set()
+
+
+def test_account_without_a_priority_is_understood_by_older_builds() -> None:
+    """They know no account without a priority, and got no state with one."""
+
+    class OldAccount(msgspec.Struct, frozen=True, kw_only=True):
+        account: str
+        keys: tuple[str, ...]
+        priority: int
+        rate_per_s: float
+        burst: float
+
+    account = Account(account="museum", keys=(), priority=0, rate_per_s=1, burst=1)
+    old = copy(account, OldAccount)
+    assert old.priority == 0
+    assert not copy(old, Account).has_priority
