--- a/src/skylarkcart/load/_upstream.py
+++ b/src/skylarkcart/load/_upstream.py
@@ -49,6 +49,14 @@
 TRUST_AFTER_CONTRADICTION = 0.5
 TRUST_RESTORED = 0.02
 
+# Weight of one report in the moving average of a service's utilization.
+UTILIZATION_WEIGHT = 0.05
+
+# Above this part of the slots in use, a few calls that others send at the same moment
+# fill an upstream. Below it, spreading calls by chance only moves them from the best
+# upstream to others.
+BUSY_UTILIZATION = 0.2
+
 # Stated calls for each slot, and a stated work factor, count up to these bounds, so
 # that one absurd report doesn't rule the means.
 MAX_CALLS_PER_SLOT = 8
@@ -66,8 +74,15 @@
         self.queue_limit = float("inf")
         self.mean_calls = 0.0
         self.mean_factor = 1.0
+        # Part of the slots in use, according to the latest reports.
+        self.utilization = 0.0
         self._reports = 0
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether calls of instances that choose at one moment may fill an upstream."""
+        return self.is_reported and self.utilization >= BUSY_UTILIZATION
+
     # Services whose upstreams report nothing need no regressions.
 
     @functools.cached_property
@@ -83,10 +98,15 @@
     def factor(self) -> LagRegression:
         return LagRegression(half_life_ms=FACTOR_HALF_LIFE_MS, variance=FACTOR_VARIANCE)
 
-    def record(self, *, calls: float, factor: float, trust: float) -> None:
+    def record(
+        self, *, calls: float, factor: float, utilization: float, trust: float
+    ) -> None:
         """Updates the means with a report's calls of others and work factor."""
         self.is_reported = True
         self._reports += 1
+        self.utilization += max(UTILIZATION_WEIGHT, 1.0 / self._reports) * (
+            utilization - self.utilization
+        )
         weight = trust * max(SERVICE_MEAN_WEIGHT, 1.0 / (self._reports + 1.0))
         self.mean_calls += weight * (calls - self.mean_calls)
         self.mean_factor += weight * (factor - self.mean_factor)
@@ -157,7 +177,12 @@
         if self.has_report and age_ms >= 0.0:
             self._regression.record(self._calls_deviation, calls_change, age_ms=age_ms)
             service.factor.record(self._factor_deviation, factor_change, age_ms=age_ms)
-        service.record(calls=calls, factor=factor, trust=self.trust)
+        service.record(
+            calls=calls,
+            factor=factor,
+            utilization=stated / slots,
+            trust=self.trust,
+        )
         if is_refusal or report.waiting > 0:
             service.record_queue(report, is_refusal=is_refusal)
             self._regression = service.queued_calls
--- a/src/skylarkcart/replicas/_even_choice.py
+++ b/src/skylarkcart/replicas/_even_choice.py
@@ -172,9 +172,9 @@
         return load
 
     def applies_to(self, service: ServiceId) -> bool:
-        """Whether an upstream of the service has stated a work factor."""
+        """Whether the upstreams of the service state a work factor and are busy."""
         load = self._loads.get(service)
-        return load is not None and load.is_reported
+        return load is not None and load.is_busy
 
     def select(
         self,
--- a/tests/replicas/test_even_choice.py
+++ b/tests/replicas/test_even_choice.py
@@ -28,8 +28,10 @@
 
 
 def learn(replicas: Replicas, *loads: ReportedLoad, now: float = 0) -> None:
+    """Records reports of a service whose upstreams are busy."""
     for number, load in enumerate(loads, start=1):
         get(replicas, number).record_load(load, now=Millis(now))
+    replicas._even_choice.get_load(SERVICE).utilization = 1.0
 
 
 def build_three(**fields: object) -> Replicas:
@@ -44,6 +46,19 @@
     assert all(replica.load is None for replica in replicas.replicas.values())
 
 
+def test_calm_service_is_chosen_as_before() -> None:
+    """Draws moved calls to other zones and slower upstreams where room was plenty."""
+    replicas = build_replicas(
+        build_entry(1, slots=4), build_entry(2, slots=4, zone=ZoneId("zone-b"))
+    )
+    for number, load in ((1, report(1, 0, 2.5)), (2, report(0))) * 10:
+        get(replicas, number).record_load(load, now=Millis(0))
+    assert count_choices(replicas, 1) == {"i-1": 100}
+    for number in (1, 2) * 10:
+        get(replicas, number).record_load(report(4, 4, 2.5), now=Millis(2))
+    assert len(count_choices(replicas, 3)) == 2
+
+
 def test_fresh_news_are_followed_and_old_news_spread_the_calls() -> None:
     replicas = build_three()
     for step in range(10):
