--- a/src/skylarkcart/gateway/_command_line.py
+++ b/src/skylarkcart/gateway/_command_line.py
@@ -14,6 +14,7 @@
 
     settings_path: str | None = None
     only_checks: bool = False
+    spreads_calls: bool = False
 
 
 def parse_command_line(words: Sequence[str]) -> CommandLine:
@@ -41,6 +42,12 @@
     check = flags.DEFINE_bool(
         "check", False, "Only check the settings file.", flag_values=values
     )
+    spread = flags.DEFINE_bool(
+        "spread-calls",
+        False,
+        "Choose among busy upstreams that state a work factor by draws of their load.",
+        flag_values=values,
+    )
     try:
         rest = values(list(words))
     except flags.Error as error:
@@ -51,4 +58,8 @@
         raise InvalidValueError(
             where="command line", value=rest[1], expected="only flags"
         )
-    return CommandLine(settings_path=settings.value, only_checks=check.value)
+    return CommandLine(
+        settings_path=settings.value,
+        only_checks=check.value,
+        spreads_calls=spread.value,
+    )
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -120,6 +120,7 @@
             zone=settings.zone,
             random=random,
             load_statistics=self.metrics.load_statistics,
+            spreads_calls=settings.spreads_calls,
         )
         self.admission = Admission()
         self.quotas = Quotas(
--- a/src/skylarkcart/gateway/main.py
+++ b/src/skylarkcart/gateway/main.py
@@ -13,6 +13,8 @@
 import signal
 import sys
 
+import msgspec
+
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.gateway._command_line import parse_command_line
 from skylarkcart.gateway._event_loop import run_event_loop
@@ -44,6 +46,9 @@
     if command_line.only_checks:
         print(f"{path}: valid settings of {settings.instance}")
         return
+    settings = msgspec.structs.replace(
+        settings, spreads_calls=command_line.spreads_calls
+    )
     run_event_loop(_serve(pathlib.Path(path), GatewayInstance(settings=settings)))
 
 
--- a/src/skylarkcart/gateway_settings.py
+++ b/src/skylarkcart/gateway_settings.py
@@ -42,7 +42,8 @@
     ``is_first_start`` is true if no instance of the fleet has run before. ``link_mbps``
     is the rate of the machine's network link in megabits per second, ``memory_mb`` the
     memory that the process may use, in megabytes, and ``max_descriptors`` the file
-    descriptors that it may have open.
+    descriptors that it may have open. With ``spreads_calls``, calls to busy upstreams
+    that state a work factor are spread by draws of their load.
     """
 
     instance: InstanceId
@@ -60,3 +61,4 @@
     memory_mb: float
     max_descriptors: int
     bounds: Bounds
+    spreads_calls: bool = False
--- a/src/skylarkcart/replicas/_replicas.py
+++ b/src/skylarkcart/replicas/_replicas.py
@@ -49,7 +49,9 @@
         zone: ZoneId,
         random: random.Random,
         load_statistics: LoadStatistics | None = None,
+        spreads_calls: bool = False,
     ) -> None:
+        self._spreads_calls = spreads_calls
         self._zone = zone
         self._random = random
         self._by_service: dict[ServiceId, dict[UpstreamId, Replica]] = {}
@@ -184,12 +186,12 @@
 
         ``typical_ms`` is the typical latency of a call. Upstreams in ``tried`` are
         skipped. Upstreams to which no further connection may be opened get a high cost,
-        as the call would wait for a connection to become free. If the service's
-        upstreams state how long work takes on their machines, only some are compared,
-        by a draw from the estimate of their load.
+        as the call would wait for a connection to become free. If calls are to be
+        spread over busy upstreams, some are compared by a draw from the estimate of
+        their load.
         """
         connect_cost = self._get_connect_cost(service, typical_ms)
-        if self._even_choice.applies_to(service):
+        if self._spreads_calls and self._even_choice.applies_to(service):
             return self._even_choice.select(
                 service,
                 now=now,
--- a/tests/gateway/test_command_line.py
+++ b/tests/gateway/test_command_line.py
@@ -23,6 +23,11 @@
     parsed = parse_command_line([PROGRAM, "--settings", "node.toml", "--check"])
     assert parsed.settings_path == "node.toml"
     assert parsed.only_checks
+    assert not parsed.spreads_calls
+
+
+def test_choice_by_draws_is_switched_on_by_a_flag():
+    assert parse_command_line([PROGRAM, "--spread-calls"]).spreads_calls
 
 
 @pytest.mark.parametrize("word", ["--unknown", "node.toml"])
--- a/tests/replicas/test_even_choice.py
+++ b/tests/replicas/test_even_choice.py
@@ -46,6 +46,16 @@
     assert all(replica.load is None for replica in replicas.replicas.values())
 
 
+def test_choice_by_draws_takes_effect_only_where_it_is_switched_on() -> None:
+    replicas = build_three()
+    replicas._spreads_calls = False
+    learn(replicas, report(4, 4), report(4, 4), report(4, 4))
+    now = Millis(1)
+    get(replicas, 1).begin_call(1, now=now, typical_ms=TYPICAL_MS)
+    get(replicas, 2).begin_call(2, now=now, typical_ms=TYPICAL_MS)
+    assert count_choices(replicas, 2) == {"i-3": 100}
+
+
 def test_calm_service_is_chosen_as_before() -> None:
     """Draws moved calls to other zones and slower upstreams where room was plenty."""
     replicas = build_replicas(
--- a/tests/replicas/test_replicas.py
+++ b/tests/replicas/test_replicas.py
@@ -35,7 +35,7 @@
 
 
 def build_replicas(*entries: UpstreamEntry) -> Replicas:
-    replicas = Replicas(zone=ZONE, random=random.Random(1))
+    replicas = Replicas(zone=ZONE, random=random.Random(1), spreads_calls=True)
     known = {
         entry.upstream: RegisteredUpstream(entry=entry, first_seen_at=Millis(0))
         for entry in entries
