--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""A client reads a large answer at the pace of its link after a SIGTERM."""
+"""A withdrawn key works again at gateways that restart while the store is restored."""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import pathlib
 import signal
 import sys
@@ -12,79 +13,120 @@
 
 import standins_2 as standins  # noqa: E402
 
-HOST = "archive.example"
+HOST = "roster.example"
 KEY = "xmibw6kpqk8bdk9eevyx"
-GRACE_S = 6
-TIMEOUT_MS = 10_000
+OTHER_KEY = "q2yyazax6pwawxdmdejk"
+REVOKE_S = 5.0
+PAUSE_S = 0.05
 
-# The client reads at about 3 MB/s, so that the answer takes about 3 s.
-ANSWER_BYTES = 9_000_000
-READ_BYTES = 40_000
-READ_PAUSE_S = 0.0125
-RECEIVE_BUFFER_BYTES = 32_768
+# The gateways 1 to 4 of 5, the seeds among them, are killed at once.
+GATEWAYS, KILLED = 5, 4
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-c", "zone-d")
+RESTART_S = 0.5
 
-# The platform still sends requests here until the second failed question.
-SENT_AFTER_SIGNAL_S = 1.8
+COPIED_AT_S, REVOKED_AT_S, DOWN_AT_S, BACK_AT_S = 2.0, 2.2, 5.6, 5.9
+KILLED_AT_S = 6.0
+# The operator writes again what was lost, 2.5 s after the store is back.
+WRITTEN_AT_S, END_S = BACK_AT_S + 2.5, 10.0
 
 
-async def play(case: standins.Case) -> list[str]:
-    route = standins.build_route(
-        "archive",
-        "/archive/",
-        HOST,
-        service="desk",
-        timeoutMs=TIMEOUT_MS,
-        targetLatencyMs=5_000,
-    )
-    tenant = {"name": "hosts", "apiKeys": [KEY], "ratePerS": 0, "burst": 0}
-    configuration = standins.build_configuration(
-        1,
-        routes=[route],
+def build(version: int, keys: list[str]) -> dict:
+    tenant = {"name": "hosts", "apiKeys": keys, "ratePerS": 0, "burst": 0}
+    return standins.build_configuration(
+        version,
+        routes=[standins.build_route("roster", "/roster/", HOST, service="desk")],
         services=[standins.build_service("desk")],
         tenants=[tenant],
     )
-    await case.start(configuration)
-    gateway = case.gateways[0]
+
+
+async def send_all(
+    case: standins.Case, gateway: standins.Gateway, sent: dict[str, float], end: float
+) -> None:
+    """Sends requests with the key to one gateway, on a new connection after a failure."""
     client = standins.Client(gateway.host, gateway.port)
-    await client.connect(receive_bytes=RECEIVE_BUFFER_BYTES)
-    if case.has_trouble:
-        gateway.signal(signal.SIGTERM)
-        case.record.write(f"SIGTERM sent to {gateway.name}")
-    signalled = standins.now()
-    await asyncio.sleep(SENT_AFTER_SIGNAL_S)
-    client.send("/archive/1", "r1", host=HOST, key=KEY, deadline_ms=TIMEOUT_MS)
-    sent = standins.now()
-    case.record.write("request r1 sent on a connection that was open before")
-    head = (await asyncio.wait_for(client.reader.readuntil(b"\r\n\r\n"), 5)).decode()
-    case.record.write(f"head of the answer: {head.split(chr(13))[0]}")
-    received = 0
-    while received < ANSWER_BYTES:
+    for number in itertools.count():
+        if standins.now() >= end:
+            return
+        request = f"{gateway.name}-{number:04d}"
+        sent[request] = standins.now()
         try:
-            data = await asyncio.wait_for(client.reader.read(READ_BYTES), 5)
-        except (OSError, TimeoutError) as error:
-            case.record.write(f"reading failed: {error!r}")
-            break
-        if not data:
-            case.record.write("the connection ended")
-            break
-        received += len(data)
-        await asyncio.sleep(READ_PAUSE_S)
-    ended = standins.now()
-    text = (
-        f"{received} of {ANSWER_BYTES} bytes of the answer had arrived when it ended, "
-        f"{ended - sent:.2f} s after the request and {ended - signalled:.2f} s after "
-        f"the signal"
-    )
-    case.record.write(text)
-    case.record.write(f"the server ran {[request for _, request, _ in server.runs]}")
-    case.record.write(f"the process is running: {gateway.is_running()}")
-    # Otherwise no answer could have been complete.
-    if received == ANSWER_BYTES and ended - signalled > GRACE_S:
-        raise standins.CaseError("reading took longer than graceS")
-    return [f"LOST: {text}"] if received < ANSWER_BYTES else []
-
-
-case = standins.Case(FOLDER, gateways=2, bounds={"graceS": GRACE_S, "lossSlackMs": 200})
-server = case.add_server("s-1", "desk")
-server.body = b"r" * ANSWER_BYTES
+            status, _, _ = await client.ask(
+                "/roster/1", request, host=HOST, key=KEY, deadline_ms=1_000
+            )
+            case.record.write(f"{request}: {status}")
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            client.close()
+            case.record.write(f"{request}: {type(error).__name__}")
+        await asyncio.sleep(PAUSE_S)
+
+
+async def play(case: standins.Case) -> list[str]:
+    store = case.store
+    await case.start(build(1, [KEY, OTHER_KEY]))
+    started = standins.now()
+    sent: dict[str, float] = {}
+    sending = [
+        asyncio.create_task(send_all(case, gateway, sent, started + END_S))
+        for gateway in case.gateways
+    ]
+
+    async def wait_until(at_s: float) -> None:
+        await asyncio.sleep(max(0.0, started + at_s - standins.now()))
+
+    await wait_until(COPIED_AT_S)
+    copy = store.take_copy()
+    case.record.write("a copy of the store is made")
+    await wait_until(REVOKED_AT_S)
+    store.put("op/config", build(2, [OTHER_KEY]))
+    acknowledged = standins.now()
+    case.record.write("version 2, which takes the key away, is acknowledged")
+    await wait_until(DOWN_AT_S)
+    if case.has_trouble:
+        store.go_down()
+        case.record.write("the store is away")
+    await wait_until(BACK_AT_S)
+    if case.has_trouble:
+        store.restore(copy)
+        await store.come_back()
+        case.record.write(f"the store is back from the copy, in era {store.era}")
+    await wait_until(KILLED_AT_S)
+    killed = case.gateways[:KILLED]
+    for gateway in killed:
+        gateway.signal(signal.SIGKILL)
+    case.record.write(f"killed: {[gateway.name for gateway in killed]}")
+    await asyncio.sleep(RESTART_S)
+    for gateway in killed:
+        gateway.process.wait()
+        case.start_gateway(gateway, is_first=False)
+    await wait_until(WRITTEN_AT_S)
+    if case.has_trouble:
+        store.put("op/config", build(2, [OTHER_KEY]))
+        case.record.write("the operator writes version 2 again")
+    await asyncio.gather(*sending)
+    late = [
+        (request, sent[request] - acknowledged)
+        for server in case.servers
+        for _, request, _ in server.runs
+        if sent.get(request, 0.0) > acknowledged + REVOKE_S
+    ]
+    for request, after_s in late:
+        case.record.write(f"{request} ran, sent {after_s:.2f} s after the acknowledgement")
+    if not late:
+        return []
+    return [
+        f"CONFIG: {len(late)} requests ran that were sent later than {REVOKE_S:.0f} s "
+        f"after the acknowledgement of the version that took their key away, from "
+        f"{min(late, key=lambda run: run[1])[1]:.2f} to {max(run[1] for run in late):.2f} s"
+    ]
+
+
+case = standins.Case(
+    FOLDER,
+    gateways=GATEWAYS,
+    bounds={"revokeStrict": True, "revokeMs": int(REVOKE_S * 1000)},
+    zones=ZONES,
+)
+for number in (1, 2):
+    case.add_server(f"s-{number}", "desk")
 standins.run_case(case, play)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -410,6 +410,7 @@
         gateways: int,
         bounds: dict[str, object],
         memory_mb: int = 300,
+        zones: Sequence[str] = (),
     ) -> None:
         _raise_descriptor_limit()
         self._memory_mb = memory_mb
@@ -426,10 +427,11 @@
             Gateway(
                 name=f"front-{number}",
                 host=f"{net}.{number}",
-                zone=ZONES[number % len(ZONES)],
+                zone=zones[number - 1] if zones else ZONES[number % len(ZONES)],
             )
             for number in range(1, gateways + 1)
         ]
+        self._zones = sorted({*ZONES, *zones})
         self._ports = _find_ports([gateway.host for gateway in self.gateways], 5)
 
     def add_server(self, name: str, service: str, kind: type = Searcher) -> Searcher:
@@ -461,7 +463,7 @@
             "discovery": "platform",
             "entry": "vip",
             "heartbeatMs": 1200,
-            "zones": dict.fromkeys(ZONES, "region-1"),
+            "zones": dict.fromkeys(self._zones, "region-1"),
             "listenAddrs": {
                 "front": f"{gateway.host}:{front}",
                 "ready": f"{gateway.host}:{ready}",
