Log what a configuration holds when it takes effect

The log named the version in force but not its accounts, so that a stale configuration, a wrong lookup of the key and a request for which no key was asked looked the same.

Change: the instance writes configuration_in_force with the version and the numbers of its routes, services, accounts and keys.

--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -271,6 +271,14 @@
         self._used_services = table.list_reachable_services()
         self.update_cold_call_rates()
         self._remove_unused_routes()
+        self.log.write(
+            "configuration_in_force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            services=len(configuration.services),
+            accounts=len(configuration.accounts),
+            keys=sum(len(account.keys) for account in configuration.accounts),
+        )
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
         """Removes an upstream whose address now belongs to another one."""
