Ask for keys although no account is left

Cause: a configuration that names no accounts asks for no keys; one whose list is empty holds no valid key. Decoding made the same value of both, and RouteTable.needs_key took no accounts for no need of keys.

Change: Configuration.requires_keys says whether the field was present and alone decides. It passes between instances, also with a kept configuration. State of an older build that names no accounts is not used, as it can be read either way; the instance reads the store for itself. skylarkcart-check tells the two changes apart and warns of an empty list. Its test expected "no request needs a key any more" of an empty list, which was the fault; the test now expects 401 there, and the old text where the field is gone.

Why it works: the need for a key no longer follows from the number of accounts, so that withdrawing the last one refuses like any other.

--- a/src/skylarkcart/check/_changes.py
+++ b/src/skylarkcart/check/_changes.py
@@ -166,13 +166,9 @@
 def _describe_accounts(old: Configuration, new: Configuration) -> Iterator[Change]:
     before = {account.account: account for account in old.accounts}
     after = {account.account: account for account in new.accounts}
-    if bool(before) != bool(after):
-        effect = (
-            "requests need keys, except on public routes"
-            if after
-            else "no request needs a key any more"
-        )
-        yield _build("accounts", f"{len(before)} -> {len(after)}", effect)
+    if old.requires_keys != new.requires_keys or bool(before) != bool(after):
+        change = f"{_count_accounts(old)} -> {_count_accounts(new)}"
+        yield _build("accounts", change, _describe_need_for_keys(new))
     for name, account in before.items():
         if name not in after and after:
             effect = "requests with its keys get 401"
@@ -185,6 +181,18 @@
             yield from _describe_account(before[name], account, after)
 
 
+def _count_accounts(configuration: Configuration) -> str:
+    return str(len(configuration.accounts)) if configuration.requires_keys else "none"
+
+
+def _describe_need_for_keys(configuration: Configuration) -> str:
+    if not configuration.requires_keys:
+        return "no request needs a key any more"
+    if not configuration.accounts:
+        return "no key is valid; requests get 401, except on public routes"
+    return "requests need keys, except on public routes"
+
+
 def _describe_account(
     old: Account, new: Account, accounts: Mapping[str, Account]
 ) -> Iterator[Change]:
--- a/src/skylarkcart/check/_limit_rules.py
+++ b/src/skylarkcart/check/_limit_rules.py
@@ -18,6 +18,7 @@
     """Yields the findings for everything but routes."""
     yield from _check_names(configuration)
     yield from _check_services(configuration)
+    yield from _check_accounts(configuration)
     yield from _check_keys(configuration.accounts)
     for index, account in enumerate(configuration.accounts):
         yield from _check_quota(index, account)
@@ -56,6 +57,13 @@
                 yield Finding(rule=Rule.INVALID_NUMBER, path=path, detail=detail)
 
 
+def _check_accounts(configuration: Configuration) -> Iterator[Finding]:
+    if configuration.requires_keys and not configuration.accounts:
+        path = format_path("accounts")
+        detail = "is empty; no key is valid and only public routes can be used"
+        yield Finding(rule=Rule.NO_KEYS, path=path, detail=detail)
+
+
 def _check_keys(accounts: tuple[Account, ...]) -> Iterator[Finding]:
     """Finds keys that can't tell accounts apart; keys themselves are not reported."""
     owners: dict[str, int] = {}
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -278,6 +278,7 @@
             services=len(configuration.services),
             accounts=len(configuration.accounts),
             keys=sum(len(account.keys) for account in configuration.accounts),
+            requires_keys=configuration.requires_keys,
         )
 
     def remove_upstream(self, upstream: UpstreamId) -> None:
--- a/src/skylarkcart/platform/_document_check.py
+++ b/src/skylarkcart/platform/_document_check.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+from msgspec import UnsetType
 
 from skylarkcart.errors import DECODING_ERRORS, InvalidValueError
 from skylarkcart.platform._documents import ConfigurationDocument, decode_configuration
@@ -78,7 +79,8 @@
     for field in fields:
         place = _join(path, field.encode_name)
         if field.encode_name in document:
-            yield from _check_value(document[field.encode_name], field.type, place)
+            expected = _get_type_if_present(field.type)
+            yield from _check_value(document[field.encode_name], expected, place)
         elif field.required:
             yield _build_problem(DocumentRule.TYPE, place, "is missing")
     known = {field.encode_name for field in fields}
@@ -89,6 +91,13 @@
         )
 
 
+def _get_type_if_present(field_type: Any) -> Any:
+    """Returns the type of a field's value where the field may be left out."""
+    types = [item for item in typing.get_args(field_type) if item is not UnsetType]
+    is_optional = UnsetType in typing.get_args(field_type)
+    return types[0] if is_optional and len(types) == 1 else field_type
+
+
 def _check_value(value: Any, expected: Any, path: str) -> Iterator[DocumentProblem]:
     if typing.get_origin(expected) is tuple and isinstance(value, list):
         item_type = typing.get_args(expected)[0]
--- a/src/skylarkcart/platform/_documents.py
+++ b/src/skylarkcart/platform/_documents.py
@@ -88,7 +88,8 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
-    tenants: tuple[_Tenant, ...] = ()
+    # Without the field, requests need no keys; with an empty list, no key is valid.
+    tenants: tuple[_Tenant, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Server(_Document, frozen=True):
@@ -109,6 +110,8 @@
         InvalidValueError: the document is malformed or a field is missing.
     """
     document = _decode(CONFIGURATION_KEY, data, ConfigurationDocument)
+    requires_keys = document.tenants is not msgspec.UNSET
+    tenants = document.tenants if requires_keys else ()
     return Configuration(
         version=document.version,
         routes=tuple(_convert_route(route) for route in document.routes),
@@ -119,7 +122,8 @@
             header_timeout_ms=document.limits.header_timeout_ms,
             idle_timeout_ms=document.limits.idle_timeout_ms,
         ),
-        accounts=tuple(_convert_account(tenant) for tenant in document.tenants),
+        accounts=tuple(_convert_account(tenant) for tenant in tenants),
+        requires_keys=requires_keys,
     )
 
 
--- a/src/skylarkcart/published.py
+++ b/src/skylarkcart/published.py
@@ -111,13 +111,28 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    """The complete configuration of the operators."""
+    """The complete configuration of the operators.
+
+    If ``requires_keys`` holds, requests need the key of one of the ``accounts``, except
+    on public routes. With no accounts, no key is valid then. It is None in state that
+    comes from an older build.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits
     accounts: tuple[Account, ...]
+    requires_keys: bool | None = None
+
+    @property
+    def is_ambiguous(self) -> bool:
+        """Whether keys may or may not be needed.
+
+        An older build passes on the same state for an empty list of accounts as for a
+        configuration that asks for no keys.
+        """
+        return self.requires_keys is None and not self.accounts
 
 
 class UpstreamState(enum.Enum):
--- a/src/skylarkcart/registry/_messages.py
+++ b/src/skylarkcart/registry/_messages.py
@@ -134,6 +134,13 @@
     def position(self) -> StatePosition:
         return StatePosition(self.era, self.revision)
 
+    @property
+    def is_ambiguous(self) -> bool:
+        """Whether a configuration in it leaves open whether requests need keys."""
+        kept = self.kept_configuration
+        configurations = (self.configuration, kept and kept.configuration)
+        return any(known is not None and known.is_ambiguous for known in configurations)
+
 
 class RegistryEvent(msgspec.Struct, frozen=True, kw_only=True):
     """A change of the published state, for the log."""
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -154,10 +154,18 @@
         A partial state is applied only if it starts at or before the own revision of
         the same era. Of the entries that it doesn't hold, only those lapsed that it
         lists as such: the sender knows whether the store was unavailable when they were
-        removed. If an era begins, entries lapse that it doesn't list as departed.
+        removed. If an era begins, entries lapse that it doesn't list as departed. State
+        that leaves open whether requests need keys is ignored.
         """
         if published.position <= self.position:
             return False
+        if published.is_ambiguous:
+            self._emit_event(
+                "state_ignored",
+                f"{published.era}:{published.revision}",
+                "an older build does not tell whether requests need keys",
+            )
+            return False
         is_same_era = published.era == self.era
         if published.since and not (is_same_era and published.since <= self.revision):
             return False
--- a/src/skylarkcart/routing/_table.py
+++ b/src/skylarkcart/routing/_table.py
@@ -62,7 +62,7 @@
 
     def needs_key(self, route: Route) -> bool:
         """Whether requests to the route need the key of a client account."""
-        return bool(self.configuration.accounts) and not route.is_public
+        return self.configuration.requires_keys is not False and not route.is_public
 
     def choose_service(self, route: Route) -> ServiceId:
         """Selects a service of a route that is not scatter-gather, by weight."""
--- a/tests/admission/model.py
+++ b/tests/admission/model.py
@@ -62,7 +62,12 @@
         max_header_bytes=1, max_body_bytes=1, header_timeout_ms=1, idle_timeout_ms=1
     )
     return Configuration(
-        version=1, routes=routes, services=services, limits=limits, accounts=accounts
+        version=1,
+        routes=routes,
+        services=services,
+        limits=limits,
+        accounts=accounts,
+        requires_keys=bool(accounts),
     )
 
 
--- a/tests/check/test_changes.py
+++ b/tests/check/test_changes.py
@@ -88,7 +88,17 @@
         {"tenants": DOCUMENT["tenants"][:1]},
         ["account host: dropped; requests with its keys get 401"],
     ),
-    ({"tenants": []}, ["accounts: 2 -> 0; no request needs a key any more"]),
+    (
+        {"tenants": []},
+        [
+            "accounts: 2 -> 0; no key is valid; requests get 401, except on public "
+            "routes"
+        ],
+    ),
+    (
+        {"tenants": REMOVED},
+        ["accounts: 2 -> none; no request needs a key any more"],
+    ),
     (
         {"tenants.0.ratePerS": 50},
         [
--- a/tests/check/test_check.py
+++ b/tests/check/test_check.py
@@ -181,6 +181,7 @@
     ({"tenants.0.apiKeys.-": KEYS[0]}, Rule.REPEATED_KEY, "tenants[0].apiKeys[1]"),
     ({"tenants.0.apiKeys.-": ""}, Rule.EMPTY_KEY, "tenants[0].apiKeys[1]"),
     ({"tenants.0.apiKeys": []}, Rule.NO_KEYS, "tenants[0]"),
+    ({"tenants": []}, Rule.NO_KEYS, "tenants"),
     ({"tenants.0.burst": 0.5}, Rule.BURST_BELOW_ONE, "tenants[0].burst"),
     ({"tenants.0.burst": 400}, Rule.BURST_ABOVE_RATE, "tenants[0].burst"),
     ({"tenants.0.ratePerS": 0}, Rule.UNUSED_BURST, "tenants[0].burst"),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -70,6 +70,26 @@
     assert configuration.accounts[0].rate_per_s == 1_000
 
 
+@pytest.mark.parametrize(
+    ("change", "requires_keys"), [({}, True), ({"tenants": []}, True), (None, False)]
+)
+def test_keys_are_required_wherever_accounts_are_stated(
+    change: dict | None, requires_keys: bool
+) -> None:
+    """An empty list of accounts was taken for a configuration without the field."""
+    document = build_configuration(7)
+    if change is None:
+        del document["tenants"]
+    configuration = decode_configuration(json.dumps(document | (change or {})).encode())
+    assert configuration.requires_keys is requires_keys
+
+
+def test_accounts_that_are_null_are_no_configuration() -> None:
+    document = build_configuration(7) | {"tenants": None}
+    with pytest.raises(InvalidValueError):
+        decode_configuration(json.dumps(document).encode())
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -53,7 +53,12 @@
         idle_timeout_ms=1.0,
     )
     return Configuration(
-        version=version, routes=(), services=(), limits=limits, accounts=()
+        version=version,
+        routes=(),
+        services=(),
+        limits=limits,
+        accounts=(),
+        requires_keys=False,
     )
 
 
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -33,7 +33,7 @@
 
 
 def build_configuration(
-    *routes: Route, accounts: tuple[Account, ...] = ()
+    *routes: Route, accounts: tuple[Account, ...] | None = None
 ) -> Configuration:
     limits = CallerLimits(
         max_header_bytes=1,
@@ -42,11 +42,18 @@
         idle_timeout_ms=1.0,
     )
     return Configuration(
-        version=1, routes=routes, services=(), limits=limits, accounts=accounts
+        version=1,
+        routes=routes,
+        services=(),
+        limits=limits,
+        accounts=accounts or (),
+        requires_keys=accounts is not None,
     )
 
 
-def build_table(*routes: Route, accounts: tuple[Account, ...] = ()) -> RouteTable:
+def build_table(
+    *routes: Route, accounts: tuple[Account, ...] | None = None
+) -> RouteTable:
     configuration = build_configuration(*routes, accounts=accounts)
     return RouteTable(configuration=configuration, random=random.Random(1))
 
@@ -73,6 +80,16 @@
     assert not build_table(restricted).needs_key(restricted)
 
 
+def test_key_is_needed_although_no_account_is_left() -> None:
+    """Withdrawing the last account opened all routes to every caller."""
+    restricted, public = build_route("c", "/c/"), build_route(
+        "p", "/p/", is_public=True
+    )
+    table = build_table(restricted, public, accounts=())
+    assert table.needs_key(restricted) and not table.needs_key(public)
+    assert table.find_account("k") is None
+
+
 @pytest.mark.parametrize("weights", [(3, 1), (0.5, 0.3, 0.2), (1, 0)])
 def test_shares_follow_the_weights_over_short_runs(weights: tuple[float, ...]) -> None:
     """Operators shift traffic by weight and check the share of the first requests."""
