Log what a process knew of its peers before it read the store

The log did not tell a gateway that had heard of nobody with state from one that ignored what a peer keeps, nor state read from the store from state that lost to a bound.

Change: wait_for_peers_ended states the own position and those that peers had stated, store_read the position of a full read and the one before.

--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -52,6 +52,9 @@
 # How often an instance that is not a reader checks whether it should be one.
 READER_CHECK_INTERVAL_MS = 200.0
 
+# Peers that the log line at the end of the wait lists.
+MAX_LISTED_PEERS = 8
+
 
 # The position of an instance that knows nothing.
 START = StatePosition(NO_ERA, 0)
@@ -75,6 +78,7 @@
         """Reads until cancelled."""
         try:
             await self._wait_for_peers()
+            self._log_start()
             while True:
                 await self._run_step()
         finally:
@@ -100,6 +104,20 @@
         while core.now < deadline and core.registry.confirmed_at is None:
             await asyncio.sleep(PEER_POLL_INTERVAL_MS / 1000.0)
 
+    def _log_start(self) -> None:
+        """Logs what the instance knows when it stops waiting for its peers."""
+        core = self._core
+        core.log.write(
+            "wait_for_peers_ended",
+            era=core.registry.era,
+            revision=core.registry.revision,
+            peers={
+                instance: [peer.member.era, peer.member.revision]
+                for instance, peer in list(core.fleet.peers.items())[:MAX_LISTED_PEERS]
+            },
+            peer_count=len(core.fleet.peers),
+        )
+
     def _is_restart_of_all(self) -> bool:
         """Whether all instances that were heard have just started, too."""
         core = self._core
@@ -169,6 +187,14 @@
             revision = page.revision
             started_at = core.now
         core.registry.apply_snapshot(changes, revision=revision, era=era, now=core.now)
+        core.log.write(
+            "store_read",
+            era=era,
+            revision=revision,
+            items=len(changes),
+            known_era=position.era,
+            known_revision=position.revision,
+        )
         self._history_lost_at = None
         self._confirm(read_at, StatePosition(era, revision), known=position)
         return bool(changes)
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -78,6 +78,8 @@
     store.era = era
     await store.put("op/config", build_configuration(9))
     await run_steps(reader)
+    first_read, *_ = read_lines(reader._core, "store_read")
+    assert (first_read["era"], first_read["known_era"]) == (2, -1)
     line = read_lines(reader._core, event)[0]
     assert (line["stated"], line["known"]) == (stated, 2)
     # Only state of an earlier era is not applied.
