Pass what is kept from before a restore to those who read the copy

Callers saw: a key that all instances refused worked again, until the operators had withdrawn it once more.

Cause: what an instance keeps from an earlier era passed on only with the first state of an era that another one got from it. An instance that has read the restored store for itself is at the same position as its peers, asked for nothing, and had no sign that they keep anything. Its own read also confirmed its keys, although a restored store can't confirm what it has lost.

Change: reports state a digest of what their sender keeps. Who doesn't know a digest asks for what is kept, at any position, and joins it with its own, for no longer than its own bound. In each era, an instance surveys its peers; until the survey is complete, keys are trusted only by confirmations from before the era. A process that starts is ready after its survey. An instance that keeps something reports to those who may not know it.

Why it works: knowledge that positions don't order now has a mark of its own, and no key is accepted before the instances that may know more have had their turn to speak. If nobody speaks for four rounds of reports, there is nobody to ask.

--- a/src/skylarkcart/fleet/_fleet.py
+++ b/src/skylarkcart/fleet/_fleet.py
@@ -6,14 +6,14 @@
 import itertools
 import random
 import zlib
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
 from skylarkcart.clock import Millis
 from skylarkcart.fleet._peer import Peer
 from skylarkcart.fleet._reach import Reach, compute_reach
-from skylarkcart.fleet._report import UNKNOWN_RATE, Member, Report
+from skylarkcart.fleet._report import UNKNOWN_DIGEST, UNKNOWN_RATE, Member, Report
 from skylarkcart.types import (
     NO_ERA,
     AccountId,
@@ -62,6 +62,9 @@
 # this time.
 MISSING_STATE_BACKOFF_MS = 2_000.0
 
+# A peer may have started anew since its last report if that is older than this.
+UNINFORMED_AFTER_MS = 2 * REPORT_INTERVAL_MS
+
 # Number of instances that read the store for the others. The second one, in another
 # zone if possible, covers the time until a failure of the first is detected.
 READER_COUNT = 2
@@ -86,6 +89,8 @@
     lost_zones: tuple[ZoneId, ...] = ()
     requests_per_s: float = UNKNOWN_RATE
     era: Era = NO_ERA
+    kept_digest: int = UNKNOWN_DIGEST
+    has_surveyed: bool = False
 
 
 class Fleet:
@@ -155,13 +160,21 @@
             self.estimated_size = self._estimate_size()
         return lost
 
-    def choose_report_targets(self, now: Millis) -> tuple[str, ...]:
-        """Starts a round of reports and returns the hosts to send them to."""
+    def choose_report_targets(
+        self, now: Millis, *, kept_digest: int = 0
+    ) -> tuple[str, ...]:
+        """Starts a round of reports and returns the hosts to send them to.
+
+        If this instance keeps something from earlier eras, they include peers that
+        don't state the same ``kept_digest``, as these may have started since then.
+        """
         self._round += 1
         if self._is_full_mesh():
             hosts = dict.fromkeys(self._list_full_mesh_hosts())
         else:
             hosts = dict.fromkeys(self._sample_gossip_hosts())
+        if kept_digest > 0:
+            hosts.update(dict.fromkeys(self._sample_uninformed(kept_digest, now)))
         if now >= self._next_seed_contact_at or not hosts:
             self._next_seed_contact_at = Millis(now + SEED_CONTACT_INTERVAL_MS)
             unknown = [
@@ -192,6 +205,8 @@
             lost_zones=own.lost_zones,
             requests_per_s=own.requests_per_s,
             era=own.era,
+            kept_digest=own.kept_digest,
+            has_surveyed=own.has_surveyed,
         )
         return Report(
             sender=sender,
@@ -319,6 +334,29 @@
         ahead.sort(key=lambda member: member.zone != self._zone)
         return tuple(ahead)
 
+    def list_responsive_members(self, now: Millis) -> tuple[Member, ...]:
+        """Returns the latest descriptions of the responsive peers."""
+        return tuple(peer.member for peer in self._list_responsive_peers(now))
+
+    def list_keeping_peers(
+        self, era: Era, lacks_kept: Callable[[int], bool], now: Millis
+    ) -> tuple[Member, ...]:
+        """Returns the peers of an era that keep what may be missing here.
+
+        Those of this zone come first, otherwise in random order, so that not all ask
+        the same one.
+        """
+        keeping = [
+            peer.member
+            for peer in self._list_responsive_peers(now)
+            if peer.member.era == era
+            and peer.member.kept_digest > 0
+            and lacks_kept(peer.member.kept_digest)
+            and now >= peer.lacks_stated_state_until
+        ]
+        self._random.shuffle(keeping)
+        return tuple(sorted(keeping, key=lambda member: member.zone != self._zone))
+
     def record_missing_state(self, instance: InstanceId, now: Millis) -> None:
         """Records that a peer did not have the newer state that it stated."""
         peer = self.peers.get(instance)
@@ -423,6 +461,17 @@
             hosts.append(self._random.choice(other_zones))
         return hosts
 
+    def _sample_uninformed(self, kept_digest: int, now: Millis) -> list[str]:
+        """Returns peers that may not know what this instance keeps."""
+        uninformed = [
+            peer.member.host
+            for peer in self.peers.values()
+            if peer.member.kept_digest != kept_digest
+            or now - peer.reported_at > UNINFORMED_AFTER_MS
+        ]
+        limit = MAX_FULL_MESH_PEERS if self._is_full_mesh() else GOSSIP_FANOUT
+        return self._random.sample(uninformed, min(limit, len(uninformed)))
+
     def _estimate_size(self) -> int:
         """Estimates the number of instances.
 
--- a/src/skylarkcart/fleet/_report.py
+++ b/src/skylarkcart/fleet/_report.py
@@ -27,6 +27,8 @@
 
 UNKNOWN_RATE = -1.0
 
+UNKNOWN_DIGEST = -1
+
 _NOT_EMPTY = msgspec.Meta(min_length=1)
 
 
@@ -38,6 +40,9 @@
     upstreams it can't reach. ``requests_per_s`` is its recent rate of requests,
     negative if it has not counted them for long enough. ``era`` is the one of
     ``revision``; an instance that doesn't state it, or knows none, precedes all eras.
+    ``kept_digest`` is the digest of what it keeps from earlier eras, 0 for nothing; an
+    older build does not state it. With ``has_surveyed``, it also knows what its peers
+    keep.
     """
 
     instance: Annotated[InstanceId, _NOT_EMPTY]
@@ -56,11 +61,20 @@
         UNKNOWN_RATE
     )
     era: Annotated[Era, msgspec.Meta(ge=NO_ERA, le=2**63 - 1)] = NO_ERA
+    kept_digest: Annotated[int, msgspec.Meta(ge=UNKNOWN_DIGEST, le=2**63 - 1)] = (
+        UNKNOWN_DIGEST
+    )
+    has_surveyed: bool = False
 
     @property
     def position(self) -> StatePosition:
         return StatePosition(self.era, self.revision)
 
+    @property
+    def states_kept(self) -> bool:
+        """Whether its build states what it keeps from earlier eras."""
+        return self.kept_digest != UNKNOWN_DIGEST
+
 
 class Report(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """The sender's description of itself and of other members that it knows.
--- a/src/skylarkcart/gateway/_core.py
+++ b/src/skylarkcart/gateway/_core.py
@@ -21,7 +21,7 @@
 )
 from skylarkcart.clock import Clock, Millis
 from skylarkcart.exchange import UpstreamResponse
-from skylarkcart.fleet import UNKNOWN_RATE, Fleet
+from skylarkcart.fleet import UNKNOWN_RATE, Fleet, PeerSurvey
 from skylarkcart.gateway._caller_limits import compute_largest_share
 from skylarkcart.gateway._event_log import MAX_DETAIL_LINES_PER_SECOND, EventLog, Level
 from skylarkcart.gateway._metrics import GatewayMetrics
@@ -139,6 +139,7 @@
             seed_hosts=settings.seed_hosts,
             random=random,
         )
+        self.survey = PeerSurvey(is_first_start=settings.is_first_start)
         self.pool = UpstreamPool(
             clock=clock,
             get_limit=self._get_connection_limit,
@@ -230,14 +231,15 @@
     def has_current_keys(self, now: Millis) -> bool:
         """Whether published state is recent enough to include key revocations.
 
-        A configuration that could not be put in force may revoke keys.
+        A configuration that could not be put in force may revoke keys, and so may one
+        that a restored store lacks.
         """
         if self.table is None or self.table.configuration is not (
             self.registry.configuration
         ):
             return False
         limit_ms = self.settings.bounds.key_revocation_ms - CONFIRMATION_MARGIN_MS
-        return self.registry.get_age_ms(now) <= limit_ms
+        return self.registry.get_key_age_ms(now) <= limit_ms
 
     def apply_published_state(self) -> None:
         """Updates all components after a change of the registry."""
@@ -255,7 +257,8 @@
         for upstream in removed:
             self.pool.drop(upstream)
         self.metrics.upstreams.set(len(self.replicas.replicas))
-        if self.table is not None and self.registry.upstreams:
+        has_state = self.table is not None and self.registry.upstreams
+        if has_state and self.registry.has_surveyed_peers:
             self.lifecycle.mark_ready()
 
     def _put_in_force(self, configuration: Configuration) -> None:
--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -18,7 +18,8 @@
     encode_report,
 )
 from skylarkcart.gateway._core import Core
-from skylarkcart.gateway._position import encode_position, read_position
+from skylarkcart.gateway._kept_state import list_keeping_peers, update_survey
+from skylarkcart.gateway._position import StateRequest, encode_request, read_request
 from skylarkcart.gateway._usage_exchange import UsageExchange
 from skylarkcart.registry import Published
 from skylarkcart.types import InstanceId
@@ -49,7 +50,7 @@
         self._usage = UsageExchange(core=core, send=self._send_datagram)
         self._transport: asyncio.DatagramTransport | None = None
         self._known_peers: set[InstanceId] = set()
-        self.peer_is_ahead = asyncio.Event()
+        self.peer_has_state = asyncio.Event()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -76,11 +77,17 @@
     async def run(self) -> None:
         """Sends reports until cancelled."""
         while True:
-            self.send_reports()
-            self._update_peers()
-            self._exchange_usage()
+            self.run_round()
             await asyncio.sleep(REPORT_INTERVAL_MS / 1000.0)
 
+    def run_round(self) -> None:
+        """Sends a round of reports and brings up to date what follows from peers."""
+        self._core.survey.begin_round(len(self._core.fleet.peers))
+        self.send_reports()
+        self._update_peers()
+        self._exchange_usage()
+        update_survey(self._core)
+
     def _exchange_usage(self) -> None:
         try:
             self._usage.run_round()
@@ -92,7 +99,10 @@
         """Sends one round of reports."""
         now = self._core.now
         own_state = self._build_own_state(now)
-        for host in self._core.fleet.choose_report_targets(now):
+        hosts = self._core.fleet.choose_report_targets(
+            now, kept_digest=own_state.kept_digest
+        )
+        for host in hosts:
             self._send(own_state, host, now, wants_reply=True)
 
     def _send(
@@ -120,6 +130,8 @@
             slow_calls=core.replicas.list_slow_calls(now),
             lost_zones=core.replicas.list_locally_unreachable_zones(),
             requests_per_s=round(core.get_request_rate(), 2),
+            kept_digest=core.registry.compute_kept_digest(now),
+            has_surveyed=core.survey.is_complete(core.registry.era),
         )
 
     def _handle_report(self, report: Report) -> None:
@@ -138,6 +150,7 @@
             ):
                 core.replicas.apply_peer_unreachable_zones(member.lost_zones, now=now)
         self._compare_state(report, now)
+        self._compare_kept_state(report)
         if report.wants_reply:
             own_state = self._build_own_state(now)
             self._send(own_state, report.sender.host, now, wants_reply=False)
@@ -147,7 +160,7 @@
         core = self._core
         if report.sender.position > core.registry.position:
             if core.fleet.list_peers_ahead(core.registry.position, now):
-                self.peer_is_ahead.set()
+                self.peer_has_state.set()
         elif report.sender.era != core.registry.era:
             # The store may have lost since then what the peer confirms.
             return
@@ -159,6 +172,14 @@
                 Millis(min(now, report.echo_ms) - report.confirmed_age_ms)
             )
 
+    def _compare_kept_state(self, report: Report) -> None:
+        """Asks for what peers keep from earlier eras if it may be missing here."""
+        members = (report.sender, *report.others)
+        if any(member.kept_digest > 0 for member in members):
+            if list_keeping_peers(self._core):
+                self.peer_has_state.set()
+        update_survey(self._core)
+
     def _update_peers(self) -> None:
         core = self._core
         now = core.now
@@ -212,67 +233,98 @@
         """Handles one connection of a peer."""
         try:
             async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                registry = self._core.registry
-                known = await read_position(reader, default_era=registry.era)
-                if known < registry.position:
-                    published = registry.build_published(
-                        since=known.revision, era=known.era, now=self._core.now
-                    )
-                    writer.write(msgspec.msgpack.encode(published))
-                    await writer.drain()
+                era = self._core.registry.era
+                request = await read_request(reader, default_era=era)
+                writer.write(self.build_response(request))
+                await writer.drain()
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self._core.log.write("state_not_sent", detail=repr(error), limit=5)
         finally:
             writer.close()
 
+    def build_response(self, request: StateRequest) -> bytes:
+        """Encodes the state that a peer asks for, or nothing."""
+        registry, known = self._core.registry, request.position
+        if known >= registry.position and not request.wants_kept:
+            return b""
+        published = registry.build_published(
+            since=known.revision,
+            era=known.era,
+            now=self._core.now,
+            includes_kept=request.wants_kept,
+        )
+        return msgspec.msgpack.encode(published)
+
     async def run(self) -> None:
-        """Fetches state from peers that are ahead until cancelled."""
+        """Fetches state that is missing here from peers until cancelled."""
         while True:
-            await self._peer_link.peer_is_ahead.wait()
-            self._peer_link.peer_is_ahead.clear()
+            await self._peer_link.peer_has_state.wait()
+            self._peer_link.peer_has_state.clear()
             await asyncio.sleep(MAX_TRANSFER_DELAY_S * self._core.random.random())
-            await self._fetch()
+            await self.fetch()
 
-    async def _fetch(self) -> None:
+    async def fetch(self) -> None:
+        """Fetches newer state, and what is kept from earlier eras and missing here."""
         core = self._core
         for peer in core.fleet.list_peers_ahead(core.registry.position, core.now)[:2]:
-            requested_at = core.now
-            try:
-                async with asyncio.timeout(TRANSFER_TIMEOUT_S):
-                    published = await self._request_state(peer)
-            except (OSError, TimeoutError, InvalidValueError) as error:
-                core.log.write(
-                    "state_not_fetched", peer=peer.instance, detail=repr(error)
-                )
+            if await self._fetch_from(peer, wants_kept=False):
+                break
+        for peer in list_keeping_peers(core)[:2]:
+            if not await self._fetch_from(peer, wants_kept=True):
                 continue
-            if published is not None and core.registry.adopt(published, core.now):
-                core.registry.confirm_adopted(published, requested_at=requested_at)
-                core.log.write(
-                    "state_fetched",
-                    peer=peer.instance,
-                    era=published.era,
-                    revision=published.revision,
-                )
-                core.apply_published_state()
-                return
+            if not core.registry.lacks_kept(peer.kept_digest, core.now):
+                break
+            # The process that stated it has ended, or keeps something else now.
             core.fleet.record_missing_state(peer.instance, core.now)
-            core.log_warning(
-                "peer_has_no_newer_state",
+        update_survey(core)
+
+    async def _fetch_from(self, peer: Member, *, wants_kept: bool) -> bool:
+        """Fetches and applies the state of a peer, and returns whether it sent any."""
+        core = self._core
+        requested_at = core.now
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                published = await self._request_state(peer, wants_kept=wants_kept)
+        except (OSError, TimeoutError, InvalidValueError) as error:
+            core.log.write("state_not_fetched", peer=peer.instance, detail=repr(error))
+            return False
+        brings_state = published is not None and core.registry.adopt(
+            published, core.now
+        )
+        if brings_state:
+            core.registry.confirm_adopted(published, requested_at=requested_at)
+            core.log.write(
+                "state_fetched",
                 peer=peer.instance,
-                stated_era=peer.era,
-                stated_revision=peer.revision,
-                era=core.registry.era,
-                revision=core.registry.revision,
+                era=published.era,
+                revision=published.revision,
+                kept=wants_kept,
             )
+            core.apply_published_state()
+        if brings_state or (wants_kept and published is not None):
+            return True
+        core.fleet.record_missing_state(peer.instance, core.now)
+        core.log_warning(
+            "peer_has_no_newer_state",
+            peer=peer.instance,
+            stated_era=peer.era,
+            stated_revision=peer.revision,
+            era=core.registry.era,
+            revision=core.registry.revision,
+        )
+        return False
 
-    async def _request_state(self, peer: Member) -> Published | None:
+    async def _request_state(
+        self, peer: Member, *, wants_kept: bool = False
+    ) -> Published | None:
         reader, writer = await asyncio.open_connection(
             peer.host, self._core.settings.peer_port
         )
+        request = StateRequest(
+            position=self._core.registry.position, wants_kept=wants_kept
+        )
         try:
-            writer.write(
-                encode_position(self._core.registry.position, receiver_era=peer.era)
-            )
+            writer.write(encode_request(request, receiver_era=peer.era))
             data = await _read_to_end(reader)
         finally:
             writer.close()
--- a/src/skylarkcart/gateway/_position.py
+++ b/src/skylarkcart/gateway/_position.py
@@ -1,42 +1,67 @@
-"""Encoding of the position of published state in a request to another instance.
+"""Encoding of a request for the published state of another instance.
 
-A build that knows no eras sends and reads the revision as 8 bytes. If the highest bit
-is set, 8 bytes with the era follow.
+A build that knows no eras sends and reads the revision of its state as 8 bytes. If the
+highest bit is set, 8 bytes with the era follow. An era below all others asks also for
+what the receiver keeps from earlier eras, even if it has no newer state; a build that
+doesn't know this sends its whole state.
 """
 
 from __future__ import annotations
 
 import asyncio
 
+import msgspec
+
 from skylarkcart.types import NO_ERA, Era, StatePosition
 
 _NUMBER_BYTES = 8
 _HAS_ERA = 1 << 63
 
+# An era N is sent as -2 - N to ask for what is kept; -1 is NO_ERA.
+_KEPT_OFFSET = -2
+_MIN_ERA = -(1 << 63)
+
+
+class StateRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The position of the state that an instance knows, and what it asks for."""
+
+    position: StatePosition
+    wants_kept: bool = False
+
 
-def encode_position(position: StatePosition, *, receiver_era: Era) -> bytes:
-    """Encodes a position for a peer that states an era, or none.
+def encode_request(request: StateRequest, *, receiver_era: Era) -> bytes:
+    """Encodes a request to a peer that states an era, or none.
 
-    >>> encode_position(StatePosition(Era(2), 7), receiver_era=NO_ERA).hex()
+    >>> request = StateRequest(position=StatePosition(Era(2), 7))
+    >>> encode_request(request, receiver_era=NO_ERA).hex()
     '0000000000000007'
-    >>> encode_position(StatePosition(Era(2), 7), receiver_era=Era(3)).hex()
+    >>> encode_request(request, receiver_era=Era(3)).hex()
     '80000000000000070000000000000002'
     """
+    position = request.position
     if receiver_era == NO_ERA:
         return position.revision.to_bytes(_NUMBER_BYTES)
     revision = (position.revision | _HAS_ERA).to_bytes(_NUMBER_BYTES)
-    return revision + position.era.to_bytes(_NUMBER_BYTES, signed=True)
+    era = int(position.era)
+    if request.wants_kept and era != NO_ERA:
+        era = max(_MIN_ERA, _KEPT_OFFSET - era)
+    return revision + era.to_bytes(_NUMBER_BYTES, signed=True)
 
 
-async def read_position(
+async def read_request(
     reader: asyncio.StreamReader, *, default_era: Era
-) -> StatePosition:
-    """Reads a position; a build that states no era is taken to be in the default one.
+) -> StateRequest:
+    """Reads a request; a build that states no era is taken to be in the default one.
 
     It can't order state by eras, and gets what follows its revision.
     """
     revision = int.from_bytes(await reader.readexactly(_NUMBER_BYTES))
     if not revision & _HAS_ERA:
-        return StatePosition(default_era, revision)
+        return StateRequest(position=StatePosition(default_era, revision))
     era = int.from_bytes(await reader.readexactly(_NUMBER_BYTES), signed=True)
-    return StatePosition(Era(era), revision & ~_HAS_ERA)
+    wants_kept = era < NO_ERA
+    if wants_kept:
+        era = _KEPT_OFFSET - era
+    return StateRequest(
+        position=StatePosition(Era(era), revision & ~_HAS_ERA), wants_kept=wants_kept
+    )
--- a/src/skylarkcart/gateway/_reader.py
+++ b/src/skylarkcart/gateway/_reader.py
@@ -9,6 +9,7 @@
 from skylarkcart.errors import InvalidValueError
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._era_check import check_watched_era, resolve_era
+from skylarkcart.gateway._kept_state import update_survey
 from skylarkcart.platform._store import HistoryLostError, StoreClient, StoreError
 from skylarkcart.platform._store_items import decode_items
 from skylarkcart.registry import Change, StatePosition
@@ -169,6 +170,7 @@
             has_changed = await self._watch_changes()
         if has_changed:
             core.apply_published_state()
+            update_survey(core)
             await asyncio.sleep(CHANGE_BATCH_MS / 1000.0)
 
     async def _read_whole_state(self) -> bool:
--- a/src/skylarkcart/registry/_closed_zones.py
+++ b/src/skylarkcart/registry/_closed_zones.py
@@ -20,6 +20,8 @@
         self._event_handler = on_event
         self.stored: set[ZoneId] = set()
         self._kept: dict[ZoneId, Millis] = {}
+        # Zones that the store has closed or reopened in the current era.
+        self._decided: set[ZoneId] = set()
 
     @property
     def all(self) -> set[ZoneId]:
@@ -29,6 +31,7 @@
         """Keeps all closed zones until a time, as the store may have lost them."""
         self._kept = dict.fromkeys(self.all, kept_until)
         self.stored = set()
+        self._decided = set()
 
     def close(self, zone: ZoneId) -> None:
         """Closes a zone that is closed in the store."""
@@ -36,17 +39,22 @@
             self._emit_event("zone_closed", zone, "in the store")
         self._kept.pop(zone, None)
         self.stored.add(zone)
+        self._decided.add(zone)
 
     def reopen(self, zone: ZoneId) -> None:
         """Reopens a zone whose evacuation the operators have taken back."""
+        self._decided.add(zone)
         if zone in self.all:
             self.stored.discard(zone)
             self._kept.pop(zone, None)
             self._emit_event("zone_reopened", zone, "in the store")
 
     def keep(self, kept: KeptZone, until: Millis) -> None:
-        """Closes a zone that a peer keeps closed from an earlier era."""
-        if kept.zone not in self.all:
+        """Closes a zone that a peer keeps closed from an earlier era.
+
+        What the store has said of the zone since then counts more.
+        """
+        if kept.zone not in self.all and kept.zone not in self._decided:
             self._kept[kept.zone] = until
             self._emit_event("zone_closed", kept.zone, "kept by a peer")
 
--- a/src/skylarkcart/registry/_departures.py
+++ b/src/skylarkcart/registry/_departures.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Iterable
 
 from skylarkcart.clock import Millis
 from skylarkcart.published import UpstreamEntry, UpstreamState
-from skylarkcart.registry._messages import Departure
+from skylarkcart.registry._messages import CURRENT_ERA, Departure
 from skylarkcart.types import UpstreamId
 
 # Departures kept for an era that may follow. A copy is some seconds old, in which fewer
 # upstreams leave.
 MAX_DEPARTURES = 512
 
-# In a message: the departure is of the store's current era.
-_CURRENT_ERA = -1.0
-
 
 class Departures:
     """Upstreams that left in the current era, and those withheld since earlier ones.
@@ -84,27 +80,41 @@
         """Forgets what an upstream did in earlier eras."""
         self._withheld.pop(upstream, None)
 
-    def list_departures(self, now: Millis) -> tuple[Departure, ...]:
-        left = (
-            Departure(upstream=upstream, born_ms=born_ms, left_ms=_CURRENT_ERA)
-            for upstream, born_ms in self._left.items()
-        )
-        withheld = (
+    def list_withheld(self, now: Millis) -> tuple[Departure, ...]:
+        """Returns the departures of earlier eras that still withhold calls."""
+        return tuple(
             Departure(upstream=upstream, born_ms=born_ms, left_ms=until - now)
             for upstream, (born_ms, until) in self._withheld.items()
             if until > now
         )
-        return tuple(itertools.chain(left, withheld))
-
-    def adopt(
-        self, departures: Iterable[Departure], *, max_ms: float, now: Millis
-    ) -> None:
-        """Adds the departures that a peer knows to those known here."""
-        for departure in departures:
-            if departure.left_ms > 0:
-                until = Millis(now + min(departure.left_ms, max_ms))
-                self._withheld.setdefault(
-                    departure.upstream, (departure.born_ms, until)
-                )
-            elif departure.left_ms == _CURRENT_ERA:
-                self._left.setdefault(departure.upstream, departure.born_ms)
+
+    def list_departures(self, now: Millis) -> tuple[Departure, ...]:
+        """Returns the departures of the current era, and those that withhold calls."""
+        left = (
+            Departure(upstream=upstream, born_ms=born_ms, left_ms=CURRENT_ERA)
+            for upstream, born_ms in self._left.items()
+        )
+        return (*left, *self.list_withheld(now))
+
+    def adopt(self, departure: Departure, *, ends_by: Millis, now: Millis) -> None:
+        """Adds a departure of an earlier era that a peer knows, until a time at most.
+
+        If both know one of the upstream, the later process counts.
+        """
+        until = Millis(min(now + departure.left_ms, ends_by))
+        # Also for NaN.
+        if not until > now:
+            return
+        upstream, born_ms = departure.upstream, departure.born_ms
+        if upstream in self._withheld:
+            known_born_ms, known_until = self._withheld[upstream]
+            until = max(until, known_until)
+            if None in (born_ms, known_born_ms):
+                born_ms = None
+            else:
+                born_ms = max(born_ms, known_born_ms)
+        self._withheld[upstream] = (born_ms, until)
+
+    def adopt_current(self, departure: Departure) -> None:
+        """Adds a departure of the current era that a peer knows."""
+        self._left.setdefault(departure.upstream, departure.born_ms)
--- a/src/skylarkcart/registry/_messages.py
+++ b/src/skylarkcart/registry/_messages.py
@@ -92,6 +92,10 @@
     left_ms: float
 
 
+# Time left of a departure of the store's current era.
+CURRENT_ERA = -1.0
+
+
 class Departure(msgspec.Struct, frozen=True, kw_only=True):
     """An upstream whose processes that started up to ``born_ms`` have left.
 
@@ -103,6 +107,10 @@
     born_ms: int | None
     left_ms: float
 
+    @property
+    def is_of_current_era(self) -> bool:
+        return self.left_ms == CURRENT_ERA
+
 
 class Published(msgspec.Struct, frozen=True, kw_only=True):
     """Published state, as transferred between instances.
@@ -112,8 +120,9 @@
     ``closed_zones`` are always all closed zones. ``confirmed_age_ms`` is the time since
     the sender last knew the state to be current, negative if it never did.
 
-    Revisions are those of an ``era`` of the store. The whole state also carries what
-    the sender keeps from earlier eras, which the store may have lost.
+    Revisions are those of an ``era`` of the store. The whole state, and one that was
+    asked for it, also carries what the sender keeps from earlier eras, which the store
+    may have lost.
     """
 
     since: int
--- a/src/skylarkcart/registry/_registry.py
+++ b/src/skylarkcart/registry/_registry.py
@@ -18,6 +18,7 @@
 from skylarkcart.published import Configuration, RegisteredUpstream, UpstreamEntry
 from skylarkcart.registry._closed_zones import ClosedZones
 from skylarkcart.registry._configuration import ConfigurationInForce
+from skylarkcart.registry._kept_digests import KeptDigests, compute_digest
 from skylarkcart.registry._messages import (
     Change,
     ClosedZone,
@@ -73,7 +74,14 @@
         self.revision = 0
         self._configuration = ConfigurationInForce(on_event=on_event)
         self._closed_zones = ClosedZones(on_event=on_event)
+        # When this process learned of the era.
+        self._era_began_at = Millis(float("-inf"))
+        self._kept_digests = KeptDigests()
         self.confirmed_at: Millis | None = None
+        # Whether nothing can be missing here that peers keep from earlier eras, and the
+        # latest confirmation at a time when that was so.
+        self.has_surveyed_peers = True
+        self._confirmed_before_era: Millis | None = None
 
     @property
     def position(self) -> StatePosition:
@@ -149,16 +157,17 @@
         self.revision = max(self.revision, revision)
 
     def adopt(self, published: Published, now: Millis) -> bool:
-        """Applies the state of another instance and returns True if it is newer.
+        """Applies the state of another instance and returns whether it brings anything.
 
         A partial state is applied only if it starts at or before the own revision of
         the same era. Of the entries that it doesn't hold, only those lapsed that it
         lists as such: the sender knows whether the store was unavailable when they were
         removed. If an era begins, entries lapse that it doesn't list as departed. State
         that leaves open whether requests need keys is ignored.
+
+        What the peer keeps from earlier eras is taken over from state of the same era
+        at any position.
         """
-        if published.position <= self.position:
-            return False
         if published.is_ambiguous:
             self._emit_event(
                 "state_ignored",
@@ -167,9 +176,10 @@
             )
             return False
         is_same_era = published.era == self.era
+        if published.position <= self.position:
+            return is_same_era and self._adopt_kept(published, now)
         if published.since and not (is_same_era and published.since <= self.revision):
             return False
-        is_first = not is_same_era or self.revision == 0
         earlier = self._begin_era(published.era, now)
         departed = {departure.upstream for departure in published.departures}
         lapse_end = Millis(now + LAPSED_ENTRY_GRACE_MS) if earlier else now
@@ -181,8 +191,7 @@
         self.revision = published.revision
         if published.since == 0:
             self._clear_removals()
-        if is_first:
-            self._adopt_kept(published, now)
+        self._adopt_kept(published, now)
         self._compare_eras(earlier, now)
         return True
 
@@ -212,6 +221,11 @@
         self._removals.clear()
         self._removal_history_start = self.revision = 0
         self.era = era
+        self._era_began_at = now
+        if self.has_surveyed_peers:
+            self._confirmed_before_era = self.confirmed_at
+        self.has_surveyed_peers = False
+        self._kept_digests.begin_era()
         return earlier
 
     def _compare_eras(
@@ -223,24 +237,53 @@
             self._upstreams.compare_eras(earlier, now, withheld_until=withheld_until)
             self._closed_zones.log_kept(now)
 
-    def _adopt_kept(self, published: Published, now: Millis) -> None:
-        """Takes over what a peer keeps from earlier eras.
+    def _adopt_kept(self, published: Published, now: Millis) -> bool:
+        """Takes over what a peer keeps from earlier eras; returns whether it is new.
 
-        Only the first state of an era brings it: a peer that learned of the era later
-        must not renew what has expired here.
+        Nothing is kept for longer than if this instance had known it when the era
+        began: a peer that learned of the era later must not renew what has expired
+        here.
         """
-        bounds = self._retention
+        before = self.compute_kept_digest(now)
+        withheld = [known for known in published.departures if known.left_ms > 0]
+        self._kept_digests.add(
+            compute_digest(published.kept_configuration, published.kept_zones, withheld)
+        )
+        bounds, began_at = self._retention, self._era_began_at
         kept = published.kept_configuration
-        if kept is not None and kept.left_ms > 0:
-            left_ms = min(kept.left_ms, bounds.configuration_ms)
-            self._configuration.keep(kept.configuration, Millis(now + left_ms))
+        if kept is not None:
+            until = min(now + kept.left_ms, began_at + bounds.configuration_ms)
+            if until > now:
+                self._configuration.keep(kept.configuration, Millis(until))
         for zone in published.kept_zones:
-            if zone.left_ms > 0:
-                left_ms = min(zone.left_ms, bounds.closed_zone_ms)
-                self._closed_zones.keep(zone, Millis(now + left_ms))
-        self._upstreams.departures.adopt(
-            published.departures, max_ms=bounds.departure_ms, now=now
+            until = min(now + zone.left_ms, began_at + bounds.closed_zone_ms)
+            if until > now:
+                self._closed_zones.keep(zone, Millis(until))
+        self._upstreams.adopt_departures(
+            published.departures,
+            ends_by=Millis(began_at + bounds.departure_ms),
+            now=now,
+        )
+        return self.compute_kept_digest(now) != before
+
+    def compute_kept_digest(self, now: Millis) -> int:
+        """Returns the digest of what is kept from earlier eras, or 0 for nothing."""
+        digest = compute_digest(
+            self._configuration.get_kept(now),
+            self._closed_zones.list_kept(now),
+            self._upstreams.departures.list_withheld(now),
+        )
+        self._kept_digests.add(digest)
+        return digest
+
+    def lacks_kept(self, digest: int, now: Millis) -> bool:
+        """Whether a peer that states a digest may keep what is missing here."""
+        bounds = self._retention
+        longest_ms = max(
+            bounds.configuration_ms, bounds.closed_zone_ms, bounds.departure_ms
         )
+        is_over = now >= self._era_began_at + longest_ms
+        return not is_over and not self._kept_digests.knows(digest)
 
     def _list_adopted_changes(self, published: Published) -> list[Change]:
         changes = list_changes(published)
@@ -303,14 +346,39 @@
         """Returns the time since the state was last known to be current."""
         return float("inf") if self.confirmed_at is None else now - self.confirmed_at
 
+    def record_survey(self) -> None:
+        """Records that all that peers keep from earlier eras is known here."""
+        self.has_surveyed_peers = True
+
+    def get_key_age_ms(self, now: Millis) -> float:
+        """Returns the time since all withdrawn keys were known to be missing here.
+
+        A restored store does not confirm that: it may lack a version that only peers
+        have seen. Until they have been surveyed, the confirmations of earlier eras
+        count.
+        """
+        if self.has_surveyed_peers:
+            return self.get_age_ms(now)
+        confirmed_at = self._confirmed_before_era
+        return float("inf") if confirmed_at is None else now - confirmed_at
+
     def build_published(
-        self, *, since: int, now: Millis, era: Era = NO_ERA
+        self,
+        *,
+        since: int,
+        now: Millis,
+        era: Era = NO_ERA,
+        includes_kept: bool = False,
     ) -> Published:
-        """Returns the state that an instance at a revision of an era is missing."""
+        """Returns the state that an instance at a revision of an era is missing.
+
+        What is kept from earlier eras is included in a whole state, and in another one
+        if it is asked for.
+        """
         if era != self.era or since < self._removal_history_start:
             since = 0
         configuration = self._configuration
-        is_whole = since == 0
+        includes_kept = includes_kept or since == 0
         return Published(
             since=since,
             revision=self.revision,
@@ -334,10 +402,10 @@
                 -1.0 if self.confirmed_at is None else self.get_age_ms(now)
             ),
             era=self.era,
-            kept_configuration=configuration.get_kept(now) if is_whole else None,
-            kept_zones=self._closed_zones.list_kept(now) if is_whole else (),
+            kept_configuration=configuration.get_kept(now) if includes_kept else None,
+            kept_zones=self._closed_zones.list_kept(now) if includes_kept else (),
             departures=(
-                self._upstreams.departures.list_departures(now) if is_whole else ()
+                self._upstreams.departures.list_departures(now) if includes_kept else ()
             ),
         )
 
--- a/src/skylarkcart/registry/_upstreams.py
+++ b/src/skylarkcart/registry/_upstreams.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from skylarkcart.clock import Millis
 from skylarkcart.published import RegisteredUpstream, UpstreamEntry, UpstreamState
 from skylarkcart.registry._departures import Departures
-from skylarkcart.registry._messages import LapsedEntry, RegistryEvent
+from skylarkcart.registry._messages import Departure, LapsedEntry, RegistryEvent
 from skylarkcart.registry._outages import LAPSED_ENTRY_GRACE_MS
 from skylarkcart.types import UpstreamId
 
@@ -94,6 +94,21 @@
             for known, expires_at in self.lapsed.values()
         )
 
+    def adopt_departures(
+        self, departures: Iterable[Departure], *, ends_by: Millis, now: Millis
+    ) -> None:
+        """Adds the departures that a peer knows to those known here.
+
+        Those of earlier eras withhold calls until a time at most. An upstream that is
+        in the store has returned since it left in the current era.
+        """
+        for departure in departures:
+            if departure.is_of_current_era:
+                if departure.upstream not in self.stored:
+                    self.departures.adopt_current(departure)
+            else:
+                self.departures.adopt(departure, ends_by=ends_by, now=now)
+
     def begin_era(
         self, now: Millis, *, withheld_until: Millis
     ) -> dict[UpstreamId, RegisteredUpstream]:
--- a/tests/gateway/test_hostile_messages.py
+++ b/tests/gateway/test_hostile_messages.py
@@ -252,18 +252,18 @@
     core = build_core(clock)
     data = encode_report(build_report(revision=2**62))
     link = receive_report(core, data)
-    assert link.peer_is_ahead.is_set()
+    assert link.peer_has_state.is_set()
     core.fleet.record_missing_state("gateway-2", core.now)
-    link.peer_is_ahead.clear()
+    link.peer_has_state.clear()
     for sequence in range(2, 12):
         clock.advance(150)
         report = build_report(revision=2**62, sequence=sequence)
         link.datagram_received(encode_report(report), ("10.0.0.2", 1))
-    assert not link.peer_is_ahead.is_set()
+    assert not link.peer_has_state.is_set()
     clock.advance(1_000)
     report = build_report(revision=2**62, sequence=20)
     link.datagram_received(encode_report(report), ("10.0.0.2", 1))
-    assert link.peer_is_ahead.is_set()
+    assert link.peer_has_state.is_set()
 
 
 @many_messages
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -12,7 +12,7 @@
 from skylarkcart.fleet import Member, decode_report, encode_report
 from skylarkcart.gateway import _reader
 from skylarkcart.gateway._core import Core
-from skylarkcart.gateway._position import encode_position, read_position
+from skylarkcart.gateway._position import StateRequest, encode_request, read_request
 from skylarkcart.gateway._reader import CHANGE_BATCH_MS, StoreReader
 from skylarkcart.registry import NO_ERA, Era, StatePosition
 from tests.fleet.test_fleet import build_fleet, build_report
@@ -183,18 +183,26 @@
 
 @pytest.mark.parametrize("era", [NO_ERA, Era(0), Era(2**63 - 1)])
 async def test_position_is_read_as_it_was_sent(era: Era) -> None:
+    request = StateRequest(position=StatePosition(era, 2**63 - 1))
+    data = encode_request(request, receiver_era=Era(3))
+    assert await read_request(feed(data), default_era=Era(3)) == request
+
+
+@pytest.mark.parametrize("era", [Era(0), Era(1), Era(2**63 - 2)])
+async def test_request_for_what_is_kept_is_read_as_it_was_sent(era: Era) -> None:
     position = StatePosition(era, 2**63 - 1)
-    data = encode_position(position, receiver_era=Era(3))
-    assert await read_position(feed(data), default_era=Era(3)) == position
+    request = StateRequest(position=position, wants_kept=True)
+    data = encode_request(request, receiver_era=Era(3))
+    assert await read_request(feed(data), default_era=Era(3)) == request
 
 
 async def test_position_is_understood_by_a_build_without_eras() -> None:
     """It reads and sends 8 bytes, and doesn't end its request."""
-    position = StatePosition(Era(2), 7)
-    data = encode_position(position, receiver_era=NO_ERA)
+    request = StateRequest(position=StatePosition(Era(2), 7))
+    data = encode_request(request, receiver_era=NO_ERA)
     assert data == (7).to_bytes(8)
-    read = await read_position(feed(data), default_era=Era(5))
-    assert read == StatePosition(Era(5), 7)
+    read = await read_request(feed(data), default_era=Era(5))
+    assert read == StateRequest(position=StatePosition(Era(5), 7))
 
 
 def test_report_is_understood_by_a_build_without_eras_and_the_other_way() -> None:
--- a/tests/registry/test_eras.py
+++ b/tests/registry/test_eras.py
@@ -161,7 +161,9 @@
 
     @rule(
         instance=instances,
-        source=strategies.sampled_from(["full read", "watch", "transfer"]),
+        source=strategies.sampled_from(
+            ["full read", "watch", "transfer", "transfer with kept state"]
+        ),
         is_late=lateness,
     )
     def read(self, instance: int, source: str, is_late: bool) -> None:
@@ -173,9 +175,12 @@
                 return
             # The store answers whatever it has, of whichever era.
             content = self.store.eras[-1][known.revision :]
-        elif source == "transfer":
+        elif source.startswith("transfer"):
             state = self.fleet[1 - instance].build_published(
-                since=known.revision, era=known.era, now=self.now
+                since=known.revision,
+                era=known.era,
+                now=self.now,
+                includes_kept=source == "transfer with kept state",
             )
             data = msgspec.msgpack.encode(state)
             content = msgspec.msgpack.decode(data, type=Published)
@@ -202,6 +207,20 @@
                 registry.apply_changes(content, **where)
             case "transfer":
                 registry.adopt(content, self.now)
+            case "transfer with kept state":
+                registry.adopt(content, self.now)
+                self.check_adopted(registry, self.seen[instance], content)
+
+    def check_adopted(self, registry: Registry, seen: Seen, state: Published) -> None:
+        """What the sender keeps is kept here, too, at whatever position."""
+        is_new = registry.era != seen.position.era
+        if registry.era != state.era or not (
+            is_new or self.is_within(seen, RETENTION.configuration_ms)
+        ):
+            return
+        kept = state.kept_configuration
+        if kept is not None:
+            assert registry.configuration.version >= kept.configuration.version
 
     @rule(instance=instances)
     def restart(self, instance: int) -> None:
--- a/tests/registry/test_kept_state.py
+++ b/tests/registry/test_kept_state.py
@@ -194,3 +194,94 @@
     old = copy(account, OldAccount)
     assert old.priority == 0
     assert not copy(old, Account).has_priority
+
+
+def read_copy() -> Registry:
+    """Returns a registry that learned of the new era from the store itself."""
+    registry = build_registry()
+    old_copy = [configure(7, 1), put(FIRST, 2)]
+    registry.apply_snapshot(old_copy, revision=2, era=NEW, now=Millis(0))
+    return registry
+
+
+def pass_kept_state(source: Registry, target: Registry, now: float) -> None:
+    """Passes on what is kept, as to an instance that may be at the same position."""
+    state = source.build_published(
+        since=target.revision, era=target.era, now=Millis(now), includes_kept=True
+    )
+    target.adopt(copy(state, Published), Millis(now))
+
+
+def test_instance_that_read_the_copy_itself_takes_over_what_a_peer_keeps() -> None:
+    """It served a withdrawn key until the operators wrote the version again.
+
+    Both are at the same position, so that neither has newer state for the other.
+    """
+    peer, started = build_restored_registry(), read_copy()
+    assert started.position == peer.position
+    assert started.configuration.version == 7
+    assert started.lacks_kept(peer.compute_kept_digest(Millis(0)), Millis(0))
+    pass_kept_state(peer, started, 100)
+    assert started.configuration.version == 8
+    assert started.closed_zones == {ZONE}
+    assert list_ready(started) == set()
+    digest = started.compute_kept_digest(Millis(100))
+    assert digest == peer.compute_kept_digest(Millis(100))
+    assert not started.lacks_kept(digest, Millis(100))
+    started.remove_expired(Millis(RETENTION.configuration_ms))
+    assert started.configuration.version == 7
+
+
+def test_peers_without_a_restart_take_over_what_only_one_of_them_had_seen() -> None:
+    """The store went away before all of them had the version that takes a key."""
+    first, second = read_copy(), read_copy()
+    for registry, version in ((first, 8), (second, 9)):
+        change = configure(version, 3)
+        registry.apply_changes([change], revision=3, era=NEW, now=Millis(0))
+        old_copy = [configure(7, 1), put(FIRST, 2)]
+        registry.apply_snapshot(old_copy, revision=2, era=Era(3), now=Millis(1))
+    pass_kept_state(second, first, 2)
+    pass_kept_state(first, second, 3)
+    assert first.configuration.version == second.configuration.version == 9
+
+
+def test_word_of_the_store_in_the_new_era_outweighs_what_a_peer_keeps() -> None:
+    """The operators wrote a higher version and took the evacuation back."""
+    peer, started = build_restored_registry(), read_copy()
+    taken_back = Change(key=build_zone_key(ZONE), revision=4, value=None)
+    changes = [configure(9, 3), taken_back]
+    started.apply_changes(changes, revision=4, era=NEW, now=Millis(10))
+    pass_kept_state(peer, started, 20)
+    assert started.configuration.version == 9
+    assert started.closed_zones == set()
+
+
+@pytest.mark.parametrize("learned_at", [0.0, 5_000.0])
+def test_what_has_expired_is_not_taken_over_from_a_peer(learned_at: float) -> None:
+    """The peer learned of the era later, or is about to drop it, too."""
+    peer, started = build_restored_registry(), read_copy()
+    started.apply_snapshot([], revision=9, era=Era(3), now=Millis(0))
+    peer.apply_snapshot([], revision=9, era=Era(3), now=Millis(learned_at))
+    digest = peer.compute_kept_digest(Millis(learned_at))
+    later = max(
+        RETENTION.configuration_ms, RETENTION.closed_zone_ms, RETENTION.departure_ms
+    )
+    started.remove_expired(Millis(later))
+    assert not started.lacks_kept(digest, Millis(later))
+    pass_kept_state(peer, started, later)
+    assert started.configuration.version == 7
+    assert started.closed_zones == set()
+
+
+def test_kept_state_of_another_era_is_not_taken_over() -> None:
+    peer, started = build_restored_registry(), read_copy()
+    started.apply_snapshot([configure(7, 1)], revision=9, era=Era(3), now=Millis(0))
+    pass_kept_state(peer, started, 1)
+    assert started.configuration.version == 7
+    assert started.closed_zones == set()
+
+
+def test_nothing_is_stated_by_an_instance_that_keeps_nothing() -> None:
+    registry = read_copy()
+    assert registry.compute_kept_digest(Millis(0)) == 0
+    assert not registry.lacks_kept(0, Millis(0))
