Separate the fetch of newer state from that of kept state

Cause: on reading the change again, one function fetched both kinds of state and its result meant another thing for each; the module of requests between instances was named after a part of them.

Change: _fetch_newer and _fetch_kept each say what they return, and share _try_fetch. The module is _state_request. Hostile reports state eras and digests, too.

Result: tests/gateway/test_hostile_messages.py, test_kept_state.py, test_store_eras.py, tests/fleet and tests/registry pass.

--- a/src/skylarkcart/gateway/_peers.py
+++ b/src/skylarkcart/gateway/_peers.py
@@ -19,7 +19,11 @@
 )
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._kept_state import list_keeping_peers, update_survey
-from skylarkcart.gateway._position import StateRequest, encode_request, read_request
+from skylarkcart.gateway._state_request import (
+    StateRequest,
+    encode_request,
+    read_request,
+)
 from skylarkcart.gateway._usage_exchange import UsageExchange
 from skylarkcart.registry import Published
 from skylarkcart.types import InstanceId
@@ -220,7 +224,7 @@
     """Serves published state to peers and fetches newer state from them.
 
     The server responds with its state in MessagePack, or with nothing if its state is
-    not newer than the position that the client sends.
+    not newer than the position that the client sends and the client asks for no more.
     """
 
     def __init__(self, *, core: Core, peer_link: PeerLink) -> None:
@@ -267,19 +271,45 @@
         """Fetches newer state, and what is kept from earlier eras and missing here."""
         core = self._core
         for peer in core.fleet.list_peers_ahead(core.registry.position, core.now)[:2]:
-            if await self._fetch_from(peer, wants_kept=False):
+            if await self._fetch_newer(peer):
                 break
         for peer in list_keeping_peers(core)[:2]:
-            if not await self._fetch_from(peer, wants_kept=True):
-                continue
-            if not core.registry.lacks_kept(peer.kept_digest, core.now):
+            if await self._fetch_kept(peer):
                 break
+        update_survey(core)
+
+    async def _fetch_newer(self, peer: Member) -> bool:
+        """Fetches the state of a peer that is ahead; returns whether it was newer."""
+        core = self._core
+        has_news = await self._try_fetch(peer, wants_kept=False)
+        if has_news is False:
+            core.fleet.record_missing_state(peer.instance, core.now)
+            core.log_warning(
+                "peer_has_no_newer_state",
+                peer=peer.instance,
+                stated_era=peer.era,
+                stated_revision=peer.revision,
+                era=core.registry.era,
+                revision=core.registry.revision,
+            )
+        return bool(has_news)
+
+    async def _fetch_kept(self, peer: Member) -> bool:
+        """Fetches what a peer keeps; returns whether all that it stated is known."""
+        core = self._core
+        if await self._try_fetch(peer, wants_kept=True) is None:
+            return False
+        if core.registry.lacks_kept(peer.kept_digest, core.now):
             # The process that stated it has ended, or keeps something else now.
             core.fleet.record_missing_state(peer.instance, core.now)
-        update_survey(core)
+            return False
+        return True
+
+    async def _try_fetch(self, peer: Member, *, wants_kept: bool) -> bool | None:
+        """Applies the state of a peer and returns whether it brings anything.
 
-    async def _fetch_from(self, peer: Member, *, wants_kept: bool) -> bool:
-        """Fetches and applies the state of a peer, and returns whether it sent any."""
+        Returns None if the peer can't be asked.
+        """
         core = self._core
         requested_at = core.now
         try:
@@ -287,32 +317,19 @@
                 published = await self._request_state(peer, wants_kept=wants_kept)
         except (OSError, TimeoutError, InvalidValueError) as error:
             core.log.write("state_not_fetched", peer=peer.instance, detail=repr(error))
+            return None
+        if published is None or not core.registry.adopt(published, core.now):
             return False
-        brings_state = published is not None and core.registry.adopt(
-            published, core.now
-        )
-        if brings_state:
-            core.registry.confirm_adopted(published, requested_at=requested_at)
-            core.log.write(
-                "state_fetched",
-                peer=peer.instance,
-                era=published.era,
-                revision=published.revision,
-                kept=wants_kept,
-            )
-            core.apply_published_state()
-        if brings_state or (wants_kept and published is not None):
-            return True
-        core.fleet.record_missing_state(peer.instance, core.now)
-        core.log_warning(
-            "peer_has_no_newer_state",
+        core.registry.confirm_adopted(published, requested_at=requested_at)
+        core.log.write(
+            "state_fetched",
             peer=peer.instance,
-            stated_era=peer.era,
-            stated_revision=peer.revision,
-            era=core.registry.era,
-            revision=core.registry.revision,
+            era=published.era,
+            revision=published.revision,
+            kept=wants_kept,
         )
-        return False
+        core.apply_published_state()
+        return True
 
     async def _request_state(
         self, peer: Member, *, wants_kept: bool = False
--- a/src/skylarkcart/gateway/_position.py
+++ b/src/skylarkcart/gateway/_state_request.py
@@ -1,9 +1,9 @@
 """Encoding of a request for the published state of another instance.
 
 A build that knows no eras sends and reads the revision of its state as 8 bytes. If the
-highest bit is set, 8 bytes with the era follow. An era below all others asks also for
-what the receiver keeps from earlier eras, even if it has no newer state; a build that
-doesn't know this sends its whole state.
+highest bit is set, 8 bytes with the era follow. A number below all eras stands for an
+era and asks also for what the receiver keeps from earlier ones, even if it has no newer
+state; a build that doesn't know this sends its whole state.
 """
 
 from __future__ import annotations
@@ -17,9 +17,10 @@
 _NUMBER_BYTES = 8
 _HAS_ERA = 1 << 63
 
-# An era N is sent as -2 - N to ask for what is kept; -1 is NO_ERA.
+# An era N is sent as -2 - N to ask for what is kept, since -1 is NO_ERA.
 _KEPT_OFFSET = -2
-_MIN_ERA = -(1 << 63)
+# Only a peer that is in error states a later era.
+_MAX_ERA = (1 << 63) - 2
 
 
 class StateRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,8 +44,8 @@
         return position.revision.to_bytes(_NUMBER_BYTES)
     revision = (position.revision | _HAS_ERA).to_bytes(_NUMBER_BYTES)
     era = int(position.era)
-    if request.wants_kept and era != NO_ERA:
-        era = max(_MIN_ERA, _KEPT_OFFSET - era)
+    if request.wants_kept and NO_ERA < era <= _MAX_ERA:
+        era = _KEPT_OFFSET - era
     return revision + era.to_bytes(_NUMBER_BYTES, signed=True)
 
 
--- a/tests/gateway/kept_state_model.py
+++ b/tests/gateway/kept_state_model.py
@@ -20,7 +20,7 @@
 from skylarkcart.gateway._core import Core
 from skylarkcart.gateway._kept_state import update_survey
 from skylarkcart.gateway._peers import PeerLink, StateTransfer, decode_state
-from skylarkcart.gateway._position import StateRequest
+from skylarkcart.gateway._state_request import StateRequest
 from skylarkcart.published import Account, Configuration
 from skylarkcart.registry import (
     CONFIGURATION_KEY,
--- a/tests/gateway/test_hostile_messages.py
+++ b/tests/gateway/test_hostile_messages.py
@@ -49,6 +49,7 @@
     strategies.sampled_from([0, -1, 1, 2**31, 2**63 - 1, 2**63, 2**64 - 1]),
     strategies.integers(-(2**63), 2**64 - 1),
 )
+eras = strategies.sampled_from([-1, 0, 1, 2, 2**63 - 1])
 names = strategies.sampled_from(
     ["", "gateway-1", "gateway-2", "gateway-3", "zone-a", "zone-z", "x" * 300, "\x00"]
 )
@@ -77,6 +78,9 @@
     ),
     slow_calls=strategies.lists(slow_calls, max_size=2).map(tuple),
     lost_zones=strategies.lists(names, max_size=2).map(tuple),
+    era=eras,
+    kept_digest=eras,
+    has_surveyed=strategies.booleans(),
 )
 reports = strategies.builds(
     Report,
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -12,8 +12,12 @@
 from skylarkcart.fleet import Member, decode_report, encode_report
 from skylarkcart.gateway import _reader
 from skylarkcart.gateway._core import Core
-from skylarkcart.gateway._position import StateRequest, encode_request, read_request
 from skylarkcart.gateway._reader import CHANGE_BATCH_MS, StoreReader
+from skylarkcart.gateway._state_request import (
+    StateRequest,
+    encode_request,
+    read_request,
+)
 from skylarkcart.registry import NO_ERA, Era, StatePosition
 from tests.fleet.test_fleet import build_fleet, build_report
 from tests.gateway.deployment import build_settings
