Do not wait for builds that do not state what they keep

Change: only a stated digest is waited for.

Result: test_older_builds_and_peers_without_state_are_not_waited_for, with such a peer, failed before; tests/fleet/test_survey.py and tests/gateway/test_kept_state.py pass.

--- a/src/skylarkcart/fleet/_survey.py
+++ b/src/skylarkcart/fleet/_survey.py
@@ -72,14 +72,13 @@
         if self._is_complete:
             return
         is_waiting = any(
-            self._is_behind(peer)
-            or (peer.era == self._era and lacks_kept(peer.kept_digest))
+            self._is_behind(peer) or self._is_keeping(peer, lacks_kept)
             for peer in peers
         )
         if is_waiting and self._rounds < MAX_ROUNDS:
             return
         has_heard = any(
-            peer.has_surveyed and peer.revision and peer.era == self._era
+            peer.has_surveyed and peer.revision > 0 and peer.era == self._era
             for peer in peers
         )
         self._is_complete = has_heard or self._has_listened()
@@ -91,6 +90,14 @@
         """
         return peer.era < self._era and peer.revision > 0 and peer.states_kept
 
+    def _is_keeping(self, peer: Member, lacks_kept: Callable[[int], bool]) -> bool:
+        """Whether a peer states something that may be missing here."""
+        return (
+            peer.era == self._era
+            and peer.kept_digest > 0
+            and lacks_kept(peer.kept_digest)
+        )
+
     def _has_listened(self) -> bool:
         return self._rounds >= MAX_ROUNDS or (
             self._rounds >= MIN_ROUNDS and self._quiet_rounds >= MIN_QUIET_ROUNDS
--- a/src/skylarkcart/registry/_kept_digests.py
+++ b/src/skylarkcart/registry/_kept_digests.py
@@ -23,7 +23,7 @@
         self._known = {NOTHING_KEPT}
 
     def begin_era(self) -> None:
-        """Forgets all digests, as what is kept has another start."""
+        """Forgets all digests, as those of another era say nothing of this one."""
         self._known = {NOTHING_KEPT}
 
     def add(self, digest: int) -> None:
--- a/tests/fleet/test_survey.py
+++ b/tests/fleet/test_survey.py
@@ -7,6 +7,7 @@
 
 OLD, NEW = Era(1), Era(2)
 KNOWN_DIGEST, UNHEARD_DIGEST = 5, 6
+KNOWN_DIGESTS = (0, KNOWN_DIGEST)
 
 
 def build_member(**fields: object) -> Member:
@@ -37,7 +38,7 @@
     """Returns the rounds until the survey is complete, 100 at most."""
     for rounds in range(1, 100):
         survey.begin_round(len(peers))
-        survey.update(peers, lacks_kept=lambda digest: digest == UNHEARD_DIGEST)
+        survey.update(peers, lacks_kept=lambda digest: digest not in KNOWN_DIGESTS)
         if survey.is_complete(era):
             return rounds
     return 100
@@ -83,6 +84,7 @@
     expected = count_rounds(build_survey(), build_member())
     for peer in (
         build_member(era=OLD, kept_digest=UNKNOWN_DIGEST),
+        build_member(kept_digest=UNKNOWN_DIGEST),
         build_member(era=NO_ERA, revision=0),
     ):
         assert count_rounds(build_survey(), peer) == expected
