Share the steps of two tests of kept state

Cause: the reading of the change found the same restart of a fleet in two tests, and a builder of reports that stands elsewhere already.

Change: restore_and_restart is a function; the tests of the survey build their peers with build_report. Checks, bounds and seeds are as before.

--- a/tests/fleet/test_survey.py
+++ b/tests/fleet/test_survey.py
@@ -4,6 +4,7 @@
 
 from skylarkcart.fleet import UNKNOWN_DIGEST, Member, PeerSurvey
 from skylarkcart.types import NO_ERA, Era
+from tests.gateway.test_hostile_messages import build_report
 
 OLD, NEW = Era(1), Era(2)
 KNOWN_DIGEST, UNHEARD_DIGEST = 5, 6
@@ -11,21 +12,9 @@
 
 
 def build_member(**fields: object) -> Member:
-    values = {
-        "instance": "gateway-2",
-        "zone": "zone-a",
-        "incarnation": 1,
-        "host": "10.0.0.2",
-        "sequence": 1,
-        "age_ms": 0.0,
-        "revision": 7,
-        "is_leaving": False,
-        "reaches_store": True,
-        "spending": {},
-        "era": NEW,
-        "kept_digest": 0,
-    }
-    return Member(**(values | fields))
+    return build_report(
+        **({"revision": 7, "era": NEW, "kept_digest": 0} | fields)
+    ).sender
 
 
 def build_survey(*, is_first_start: bool = False) -> PeerSurvey:
--- a/tests/gateway/test_kept_state.py
+++ b/tests/gateway/test_kept_state.py
@@ -31,6 +31,16 @@
     ]
 
 
+async def restore_and_restart(
+    model: KeptStateModel, survivors: list[int]
+) -> list[ModelInstance]:
+    """Restores the store, and ends all instances but some just after it."""
+    model.restore_store()
+    await model.run_for(100)
+    ended = [n for n in range(len(model.hosts)) if n not in survivors]
+    return await model.restart(ended, down_ms=DOWN_MS)
+
+
 async def watch(model: KeptStateModel, duration_ms: float) -> set[str]:
     """Returns the instances that would admit the withdrawn key at any time."""
     violations: set[str] = set()
@@ -55,10 +65,7 @@
 ) -> None:
     model = KeptStateModel(count=count, zone_count=zone_count, seed=seed, loss=loss)
     await model.run_for(2_000)
-    model.restore_store()
-    await model.run_for(100)
-    ended = [number for number in range(count) if number not in survivors]
-    restarted = await model.restart(ended, down_ms=DOWN_MS)
+    restarted = await restore_and_restart(model, survivors)
     assert await watch(model, 2_000) == set()
     assert list_uninformed(restarted) == []
 
@@ -71,10 +78,7 @@
     """Reports go to a few peers in each round, and what they say spreads by gossip."""
     model = KeptStateModel(count=count, zone_count=4, seed=seed, loss=0.02)
     await model.run_for(4_000)
-    model.restore_store()
-    await model.run_for(100)
-    ended = [number for number in range(count) if number not in survivors]
-    restarted = await model.restart(ended, down_ms=DOWN_MS)
+    restarted = await restore_and_restart(model, survivors)
     assert await watch(model, 4_000) == set()
     assert list_uninformed(restarted) == []
 
